--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -10,6 +10,7 @@
 import logging
 import math
 import time
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -30,6 +31,7 @@
 MOST_FIGURE = 1e6  # of a report; more is no load, and would outweigh all other reports
 PROBE_TIMEOUT = 0.2  # s; a report that comes later is of no use
 DROPPED = HOP_BY_HOP | {b"x-load-report", b"x-rejected"}
+FIGURES_EVERY = 5.0  # s between two lines of figures
 REPORT_FIELDS = {
     "inflight": "busy_reqs", "queue": "pending", "util": "cpu_share",
     "latency_ms": "svc_ms", "qps": "served_ps", "eps": "failed_ps",
@@ -87,6 +89,7 @@
         self.flush_at: asyncio.Handle | None = None
         self.flushed = 0.0
         self.end_by = math.inf  # when the process is to end: what comes now is answered by then
+        self.counts: Counter[str] = Counter()  # what came and how it ended, since the last line of figures
         self.lag = 0.0  # s, how late this loop was lately
         self.on_empty: Callable[[], None] | None = None
         self.carriers: dict[type, Callable[[Any], None]] = {
@@ -112,6 +115,22 @@
 
     def start(self) -> None:
         self._flush()
+        self.loop.call_later(FIGURES_EVERY, self._write_figures)
+
+    def _write_figures(self) -> None:
+        """What happened and where the module stands: tells a bad stretch from a good one."""
+        self.loop.call_later(FIGURES_EVERY, self._write_figures)
+        if self.counts:
+            counts, self.counts = self.counts + self.upstreams.counts, Counter()
+            self.upstreams.counts.clear()
+            admission = self.balancer.admission
+            log.info(
+                "figures: W %.1f, procQ %.3f, rate %.1f, cut %g, out %d, held %d, servers %d of %d; %s",
+                admission.window, admission.proc, admission.rate, admission.cut, self.balancer.busy,
+                len(self.balancer.queue), sum(not s.ejected_until for s in self.balancer.servers.pool),
+                len(self.balancer.servers.known),
+                ", ".join(f"{name} {count}" for name, count in sorted(counts.items())),
+            )  # fmt: skip
 
     def stop(self) -> None:
         self.discovery.stop()
@@ -185,6 +204,7 @@
             reply.answer(503, ((b"retry-after", b"1"),), b"too many calls\n")
             return None
         self.calls_taken += 1
+        self.counts["calls"] += 1
         number = self.calls_taken
         # What the budget has lost before the request was read shows only as this loop's lag.
         margin = min(MOST_MARGIN, LEAST_MARGIN + 2 * self.lag)
@@ -231,6 +251,7 @@
     def _close(self, call: OpenCall, code: int, headers: Any, body: bytes) -> None:
         """The final answer. After it the call is gone from the table, so there is no second one."""
         self._settle(call)
+        self.counts[f"answer {code}"] += 1
         call.reply.answer(code, headers, body)
 
     def _settle(self, call: OpenCall) -> None:
@@ -276,6 +297,7 @@
         status = exchange.status
         assert status is not None
         call.exchange = None
+        self.counts[f"attempt {status.name.lower()}"] += 1
         self.out.pop(call.number, None)
         if status not in api.NEVER_RAN:
             call.ran = True
@@ -322,6 +344,7 @@
             self.probes -= 1
             status = exchange.status
             assert status is not None
+            self.counts[f"probe {status.name.lower()}"] += 1
             report = read_report(exchange.body) if status is api.Status.OK else None
             if status is api.Status.MOOT:
                 status = api.Status.FULL  # not asked, so nothing is known against it
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -8,6 +8,7 @@
 import math
 import select
 import time
+from collections import Counter
 from collections.abc import Callable
 from typing import Any, cast
 
@@ -124,8 +125,8 @@
     """One connection to a backend; carries one exchange at a time."""
 
     __slots__ = (
-        "answer", "body", "exchange", "head_done", "headers", "idle_since", "parser", "raw", "size",
-        "transport", "until_close", "upstream",
+        "answer", "body", "carried", "exchange", "head_done", "headers", "idle_since", "made_at", "parser",
+        "raw", "rested", "size", "transport", "until_close", "upstream",
     )
 
     def __init__(self, upstream: Upstream) -> None:
@@ -139,18 +140,32 @@
         self.head_done = self.until_close = False
         self.answer: tuple[int, bool] | None = None  # whole, not handed on yet: its code, and whether to keep
         self.idle_since = 0.0
+        self.made_at = time.monotonic()
+        self.carried = 0  # exchanges so far
+        self.rested = 0.0  # s that it had not been used before the last of these
 
     # transport callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own class
+        self.made_at = time.monotonic()
         self.upstream.owner.made += 1
+        self.upstream.owner.counts["opened"] += 1
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.transport = self.parser = None  # the parser holds this object: a cycle that would wait for gc
+        at_rest = self in self.upstream.idle
         self.upstream.lost(self)
+        self.upstream.owner.counts["ended at rest"] += at_rest
         if self.exchange is not None:
             # The whole request may have left this process, so the backend may have run it: never a resend.
             exchange, self.exchange = self.exchange, None
+            now = time.monotonic()
+            log.info(
+                "reset: backend %s:%d %.3f s after the request, %d bytes answered; connection %.2f s old, "
+                "rested %.3f s, carried %d",
+                *self.upstream.address, now - exchange.started_at, self.raw, now - self.made_at, self.rested,
+                self.carried,
+            )  # fmt: skip
             exchange.end(Status.RESET)
 
     def eof_received(self) -> None:
@@ -190,6 +205,7 @@
         if keep:
             self.upstream.keep(self)
         else:
+            self.upstream.owner.counts["not to be kept"] += 1
             self.abandon()
         exchange.answered(code, headers, body)
 
@@ -241,6 +257,8 @@
     def begin(self, exchange: Exchange) -> None:
         assert self.transport is not None
         self.exchange = exchange
+        self.rested = time.monotonic() - self.idle_since if self.carried else 0.0
+        self.carried += 1
         self.parser = httptools.HttpResponseParser(self)
         self.headers, self.body = [], []
         self.raw = self.size = 0
@@ -339,6 +357,7 @@
         self.idle_for = IDLE_SHARE * conn_idle
         self.most_open = most_open
         self.made = 0  # connections that are up
+        self.counts: Counter[str] = Counter()  # of connections, since the last line of figures
         self.by_id: dict[int, Upstream] = {}
         self._connects: set[asyncio.Task[None]] = set()
         self.loop.call_later(SWEEP, self._sweep)
