--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -104,7 +104,7 @@
 
 def main() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes while it starts finds the new file read
-    logging.basicConfig(stream=sys.stderr, format="%(levelname)s %(name)s: %(message)s")
+    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     logging.getLogger().handlers[0].addFilter(Sparse())
     try:
         config = load(os.environ)
