--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -27,6 +27,8 @@
 LATE = 0.01  # s of delay of a timer after which the sockets are looked at first
 ONE_TURN = 0.001  # s; the loop reads its sockets before such a timer
 SETTLE = ONE_TURN  # s after an answer before its connection is used again: what else comes is seen first
+PROVE = ONE_TURN  # s between a request and its last byte: a connection that is lost breaks meanwhile
+ENDED = select.POLLERR | select.POLLHUP | select.POLLRDHUP
 UPSTREAM_SHARE = 0.4  # of the descriptors that the process may hold, for connections to backends
 SWEEP = 1.0  # s between looks for idle connections
 OWN_FAULTS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL))
@@ -107,9 +109,17 @@
             self.end(Status.MOOT)
             return
         self.connection = connection
-        self.sent = True
         connection.begin(self)
 
+    def not_sent(self, fresh: bool) -> None:
+        """The connection broke before the last byte was written, so nothing ran. A kept one had been lost
+        unseen, which is no word of the backend's: the next one is used."""
+        self.connection = None
+        if fresh:
+            self.end(Status.CONNECT_FAILED)
+        elif self.status is None:
+            self.upstream.owner.start(self)
+
     def answered(self, code: int, headers: list[tuple[bytes, bytes]], body: bytes) -> None:
         self.connection = None
         self.code, self.headers, self.body = code, headers, body
@@ -159,6 +169,9 @@
         if self.exchange is not None:
             # The whole request may have left this process, so the backend may have run it: never a resend.
             exchange, self.exchange = self.exchange, None
+            if not exchange.sent:
+                self._break_off(exchange)
+                return
             now = time.monotonic()
             log.info(
                 "reset: backend %s:%d %.3f s after the request, %d bytes answered; connection %.2f s old, "
@@ -175,8 +188,11 @@
 
     def data_received(self, data: bytes) -> None:
         self.upstream.heard_at = time.monotonic()
-        if self.exchange is None:
+        if self.exchange is None or not self.exchange.sent:
+            exchange = self.exchange
             self.abandon()  # nothing was asked: an answer to nobody
+            if exchange is not None:
+                self._break_off(exchange)
             return
         self.raw += len(data)
         spoilt = False
@@ -263,14 +279,30 @@
         self.headers, self.body = [], []
         self.raw = self.size = 0
         self.head_done = self.until_close = False
-        self.transport.write(exchange.request)
+        self.transport.write(exchange.request[:-1])
+        self.upstream.owner.loop.call_later(PROVE, self._finish, exchange)
+
+    def _finish(self, exchange: Exchange) -> None:
+        """The last byte: with it a request may run, and one that may have run can often not be sent again.
+        So it goes only to a connection that took the others without breaking."""
+        if self.exchange is exchange and self.transport is not None and not self.pending(ENDED):
+            exchange.sent = True
+            self.transport.write(exchange.request[-1:])
+
+    def _break_off(self, exchange: Exchange) -> None:
+        self.upstream.owner.counts["broken before the last byte"] += 1
+        exchange.not_sent(fresh=self.carried == 1)
 
     def unread(self) -> bool:
         """Whether bytes nobody asked for, or the connection's end, lie in its socket by now."""
+        return self.pending(select.POLLIN)
+
+    def pending(self, events: int) -> bool:
+        """Whether the connection ends, or the loop has yet to hear one of these events from its socket."""
         if self.transport is None or self.transport.is_closing():
             return True
         poll = select.poll()
-        poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        poll.register(self.transport.get_extra_info("socket").fileno(), events)
         return bool(poll.poll(0))
 
     def abandon(self) -> None:
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -6,12 +6,13 @@
 import asyncio
 import contextlib
 import socket
+import struct
 
 import httptools
 import pytest
 from netkit import PATIENCE, Backend, Seen, proxy, response, run
 
-from granitepoint.interface import ServerEntry, ServerState
+from granitepoint.interface import ServerEntry, ServerState, Status
 from granitepoint.net import upstream as up
 from granitepoint.net.discovery import Listed, Listing
 from granitepoint.net.driver import read_report
@@ -121,6 +122,70 @@
     run(test())
 
 
+async def whole_request(backend: socket.socket) -> None:
+    """A backend begins a request when its last byte has come."""
+    come = b""
+    while not come.endswith(b"\r\n\r\n"):
+        part = await asyncio.get_running_loop().sock_recv(backend, 1000)
+        assert part
+        come += part
+
+
+def reset(backend: socket.socket) -> None:
+    backend.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    backend.close()
+
+
+@pytest.mark.parametrize("answers_before", [1, 0], ids=["kept", "new"])
+def test_a_connection_that_breaks_before_the_last_byte_has_run_nothing(
+    answers_before: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was lost unseen. What was written of the request can't have run: a kept connection's goes out on
+    the next one, a new connection's ends as a failed connect."""
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        owner = up.Upstreams(1.0, 30.0, most_open=10)
+        entry = ServerEntry(server=1, state=ServerState.SERVING)
+        owner.apply(Listing(1, True, [Listed(listener.getsockname(), entry)]))
+        ended: asyncio.Queue[up.Exchange] = asyncio.Queue()
+
+        def start() -> None:
+            request = b"POST /canje HTTP/1.1\r\n\r\n"
+            owner.start(up.Exchange(owner.by_id[1], request, 5.0, lambda: True, ended.put_nowait))
+
+        async with asyncio.timeout(PATIENCE):
+            if not answers_before:
+                monkeypatch.setattr(up, "PROVE", PATIENCE)  # the break comes before the last byte
+            start()
+            backend, _ = await loop.sock_accept(listener)
+            for _ in range(answers_before):
+                await whole_request(backend)
+                backend.sendall(response(200, b"first"))
+                assert (await ended.get()).body == b"first"
+                monkeypatch.setattr(up, "PROVE", PATIENCE)
+                start()
+            assert await loop.sock_recv(backend, 1000)
+            monkeypatch.setattr(up, "PROVE", 0.001)
+            reset(backend)
+            if answers_before:
+                backend, _ = await loop.sock_accept(listener)
+                await whole_request(backend)
+                backend.sendall(response(200, b"second"))
+                last = await ended.get()
+                assert last.status is Status.OK and last.body == b"second"
+            else:
+                last = await ended.get()
+                assert last.status is Status.CONNECT_FAILED and not last.sent
+            assert owner.counts["broken before the last byte"] == 1
+        backend.close()
+        listener.close()
+
+    run(test())
+
+
 def test_bytes_that_lie_unread_never_answer_the_next_request() -> None:
     """The copy is in the socket before the next request is sent, and the loop has not read it yet."""
 
@@ -146,11 +211,11 @@
         async with asyncio.timeout(PATIENCE):
             start()
             backend, _ = await loop.sock_accept(listener)
-            await loop.sock_recv(backend, 1000)
+            await whole_request(backend)
             backend.sendall(response(200, b"old"))
             assert (await ended.get()).body == b"old"
             second, _ = await loop.sock_accept(listener)
-            await loop.sock_recv(second, 1000)
+            await whole_request(second)
             second.sendall(response(200, b"new"))
             assert (await ended.get()).body == b"new"
         for each in (backend, second, listener):
