--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -263,13 +263,21 @@
     token: int
 
 
+@dataclass(slots=True)
+class ClosedAtRest:
+    """The other side closed a connection that was not in use. Only real sockets tell."""
+
+    server: int
+    rested: float
+
+
 @dataclass(slots=True)
 class PeerMessage:
     sender: int
     data: bytes
 
 
-Event = ServerList | Arrival | Outcome | StreamStarted | Gone | Probed | Timer | PeerMessage
+Event = ServerList | Arrival | Outcome | StreamStarted | Gone | Probed | Timer | ClosedAtRest | PeerMessage
 
 # -- actions -----------------------------------------------------------------------------------------
 
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -16,6 +16,7 @@
     Action,
     Arrival,
     Cancel,
+    ClosedAtRest,
     CloseIdle,
     Effect,
     Event,
@@ -624,9 +625,15 @@
         and some good connections are opened anew."""
         if attempt.idle < IDLE_LEAST or (not reset and attempt.server.last_ok >= attempt.sent_at):
             return False  # too short a rest, or it was a slow call: the server has answered others since
-        self.idle_safe = max(IDLE_LEAST, min(self.idle_safe, IDLE_SHARE * attempt.idle))
+        self.doubt_rest(attempt.idle)
         return True
 
+    def doubt_rest(self, rested: float) -> None:
+        """Where idle connections are ended at some age, a call sent at about that age crosses the end. A
+        close seen at rest tells it at no call's cost; one sooner than IDLE_LEAST is not for lack of use."""
+        if rested >= IDLE_LEAST:
+            self.idle_safe = max(IDLE_LEAST, min(self.idle_safe, IDLE_SHARE * rested))
+
     def alive(self, server: Server, now: float) -> bool:
         """One broken connection says nothing of a server that has just answered on others. Guards against
         resets that strike connections one by one (a network that drops them, a middle box, a worker or a
@@ -718,6 +725,8 @@
                 self.on_probed(event)
             elif type(event) is ServerList:
                 self.on_list(event)
+            elif type(event) is ClosedAtRest:
+                self.servers.doubt_rest(event.rested)
             elif type(event) is Gone:
                 self.on_gone(event)
             elif type(event) is StreamStarted:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -19,7 +19,15 @@
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import Discovery, Listing, read_listing
 from granitepoint.net.server import Reply, Request
-from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, UPSTREAM_SHARE, Exchange, Upstreams
+from granitepoint.net.upstream import (
+    HOP_BY_HOP,
+    LATE,
+    ONE_TURN,
+    UPSTREAM_SHARE,
+    Exchange,
+    Upstream,
+    Upstreams,
+)
 
 log = logging.getLogger(__name__)
 
@@ -79,6 +87,7 @@
             self.settings.connect_timeout,
             self.settings.conn_idle,
             most_open=int(config.sockets * UPSTREAM_SHARE),
+            closed_at_rest=self._on_closed_at_rest,
         )
         self.calls: dict[int, OpenCall] = {}
         self.out: dict[int, Exchange] = {}  # attempts, by call: also of calls whose caller has left
@@ -191,6 +200,11 @@
     def _on_list_failed(self) -> None:
         self._push(api.ServerList(api.ListKind.FAILED))
 
+    def _on_closed_at_rest(self, upstream: Upstream, rested: float) -> None:
+        for server, listed in self.upstreams.by_id.items():
+            if listed is upstream and upstream.serving:  # what drains closes all that it has
+                self._push(api.ClosedAtRest(server, rested))
+
     # the callers' side
     def ready(self) -> bool:
         return self.upstreams.ready
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -168,7 +168,9 @@
         self.transport = self.parser = None  # the parser holds this object: a cycle that would wait for gc
         at_rest = self in self.upstream.idle
         self.upstream.lost(self)
-        self.upstream.owner.counts["ended at rest"] += at_rest
+        if at_rest:
+            self.upstream.owner.counts["ended at rest"] += 1
+            self.upstream.owner.closed_at_rest(self.upstream, time.monotonic() - self.idle_since)
         if self.exchange is not None:
             # The whole request may have left this process, so the backend may have run it: never a resend.
             exchange, self.exchange = self.exchange, None
@@ -388,11 +390,18 @@
 class Upstreams:
     """All backends, and the bound on connections to them."""
 
-    def __init__(self, connect_timeout: float, conn_idle: float, most_open: int) -> None:
+    def __init__(
+        self,
+        connect_timeout: float,
+        conn_idle: float,
+        most_open: int,
+        closed_at_rest: Callable[[Upstream, float], None] = lambda upstream, rested: None,
+    ) -> None:
         self.loop = asyncio.get_running_loop()
         self.connect_timeout = connect_timeout
         self.idle_for = IDLE_SHARE * conn_idle
         self.most_open = most_open
+        self.closed_at_rest = closed_at_rest  # told of each idle connection that the other side ends
         self.made = 0  # connections that are up
         self.counts: Counter[str] = Counter()  # of connections, since the last line of figures
         self.by_id: dict[int, Upstream] = {}
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -189,7 +189,8 @@
 def test_a_connection_that_rested_longer_than_is_trusted_is_closed() -> None:
     async def test() -> None:
         backend = await Backend().start()
-        owner = up.Upstreams(1.0, 30.0, most_open=10)
+        seen: asyncio.Queue[float] = asyncio.Queue()
+        owner = up.Upstreams(1.0, 30.0, 10, lambda _, rested: seen.put_nowait(rested))
         host, _, port = backend.address.rpartition(":")
         entry = ServerEntry(server=1, state=ServerState.SERVING)
         owner.apply(Listing(1, True, [Listed((host, int(port)), entry)]))
@@ -208,7 +209,10 @@
             owner.by_id[1].idle[0].idle_since -= 6.0
             assert await rested(5.0) == 0.0
             assert await backend.closed.get() == 1 and backend.connections == 2
-        await backend.stop()
+            assert seen.empty()  # this side closed it
+            owner.by_id[1].idle[0].idle_since -= 3.0
+            await backend.stop()
+            assert await seen.get() >= 3.0
 
     run(test())
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -11,6 +11,7 @@
     Action,
     Arrival,
     Balancer,
+    ClosedAtRest,
     CloseIdle,
     Effect,
     Fail,
@@ -425,6 +426,19 @@
     assert only_send(driver.arrive(5)).trust > 0.25  # a new one's reset says nothing of rest
 
 
+def test_a_close_at_rest_tells_how_long_a_connection_may_rest() -> None:
+    # Found on ticket1545: idle connections were closed after 0.35 to 0.85 s, and calls went out on others of
+    # that age: one in ten was reset.
+    driver = Driver(settings(conn_idle=30.0), servers=entries(1))
+    for call, (rested, least, most) in enumerate([(0.02, 20.0, 30.0), (0.5, 0.3, 0.4), (0.9, 0.3, 0.4)]):
+        driver.feed(ClosedAtRest(1, rested))
+        send = only_send(driver.arrive(call))
+        assert least < send.trust <= most
+        driver.settle(send, Status.OK)
+    driver.wait(60.0)
+    assert only_send(driver.arrive(9)).trust > 2.0  # older ones are tried again
+
+
 def test_reset_on_an_idle_connection_is_not_the_server_s_fault() -> None:
     # Found on idle_reap days of pratiche-nord: each lost idle connection ejected a sound server, and the
     # next idle one was used all the same.
