--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -84,6 +84,11 @@
         self.timer.cancel()
         connection, self.connection = self.connection, None
         if connection is not None:
+            log.info(
+                "%s: backend %s:%d after %.3f s, %d bytes answered; connection rested %.3f s, carried %d",
+                status.name.lower(), *self.upstream.address, self.elapsed, connection.raw, connection.rested,
+                connection.carried,
+            )  # fmt: skip
             connection.abandon()
         try:
             self.done(self)
