--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -109,8 +109,8 @@
 # -- obligations -----------------------------------------------------------------------------------------
 class Attempt:
     __slots__ = (
-        "call", "counted", "idle", "late", "load", "number", "opened", "rescued", "sent_at", "server",
-        "status",
+        "call", "counted", "idle", "late", "load", "lost", "number", "opened", "rescued", "sent_at",
+        "server", "status",
     )
 
     def __init__(self, call: Call, number: int, server: Server, sent_at: float, load: float) -> None:
@@ -121,6 +121,7 @@
         self.idle = 0.0  # s that the connection had not been used; 0: in use or new
         self.opened = False  # the connection was new
         self.rescued = False
+        self.lost = False  # overtaken for so long that its connection is at fault, not its server
 
 
 class Call:
@@ -411,6 +412,7 @@
         """Forget what was learned: the process is another one."""
         self.heard_at = -math.inf  # its last answer to a call or a probe, whatever it said
         self.breaks = 0  # connections broken or refused since
+        self.served_from = -math.inf  # when the latest of the calls that it has served was sent
         self.load_sum = self.latency_sum = 0.0
         self.errors = 0.0  # running share of errors
         self.failing: dict[str, tuple[float, float]] = {}  # by class: share not served, as of when
@@ -900,6 +902,8 @@
                 server.last_ok = now
                 servers.heard(server, now)
             return
+        if attempt.lost and status == Status.TIMEOUT:
+            return
         elapsed = max(elapsed, LEAST_LATENCY)
         ok = status == Status.OK
         own = servers.failing(server, cls, now) > servers.usual_failing(cls, now) + ERROR_EXCESS
@@ -940,6 +944,7 @@
         servers.errors.add(float(failed), 100)
         if ok:
             server.last_ok = now
+            server.served_from = max(server.served_from, attempt.sent_at)
             if attempt.opened:
                 server.unopened = 0
             server.slow_streak = server.fail_streak = 0
@@ -1042,6 +1047,8 @@
         for attempt in self.out.values():
             age = now - attempt.sent_at
             cls = attempt.call.cls
+            if age > RESCUE_AGE * cls.mean.value and attempt.server.served_from > attempt.sent_at:
+                self.lose(attempt)
             if attempt.counted:
                 total += age
                 counted += 1
@@ -1060,6 +1067,19 @@
                     self.eject(server, hard=False)
             self.rescue(attempt)
 
+    def lose(self, attempt: Attempt) -> None:
+        """Its server has long served what was sent after it: the connection went silent, and nothing is at
+        work on it. Guards against places of W held until the deadline, and procQ raised by waits that are no
+        work: both refused calls before idle servers. Harm: a long call's place is given away early."""
+        if attempt.lost:
+            return
+        attempt.lost = True
+        if attempt.counted:
+            attempt.counted = False
+            self.busy -= 1
+        if attempt.late:
+            self.admission.window += self.admission.step()  # it was no sign of a crowd
+
     def rescue(self, attempt: Attempt) -> None:
         """A further attempt for a call that seems stuck, where its class allows it."""
         call = attempt.call
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -410,6 +410,35 @@
     assert 2 <= probes <= 12
 
 
+def test_a_silent_connection_holds_no_place_and_is_no_sign_of_a_crowd() -> None:
+    # Found on ticket2466: one attempt in sixty was never answered, on servers that went on serving others.
+    # Each held a place of W for 3 s, and their waits raised procQ: up to 40% was refused.
+    driver = Driver(settings(), servers=entries(1))
+    for call in range(30):
+        driver.settle(only_send(driver.arrive(call, "once")), Status.OK)
+    balancer = driver.balancer
+    window, proc = balancer.admission.window, balancer.admission.proc
+    silent = only_send(driver.arrive(30, "once"))
+    for call in range(31, 60):
+        driver.wait(0.05)
+        driver.settle(only_send(driver.arrive(call, "once")), Status.OK)
+    assert balancer.busy == 0 and silent.call in balancer.gate.calls
+    driver.settle(silent, Status.TIMEOUT, elapsed=1.9, final=True)
+    assert balancer.admission.window >= window
+    assert balancer.admission.proc == pytest.approx(proc, rel=0.1)
+
+
+def test_the_calls_of_a_hung_server_keep_their_places() -> None:
+    """Nothing sent after them was served, so they are signs of the server."""
+    driver = Driver(settings(), servers=entries(1))
+    for call in range(30):
+        driver.settle(only_send(driver.arrive(call, "once")), Status.OK)
+    driver.arrive(30, "once")
+    for _ in range(4):
+        driver.wait(0.05)
+    assert driver.balancer.busy == 1 and driver.balancer.admission.age > 0.1
+
+
 def test_errors_leave_the_window_as_it_is() -> None:
     # Found on ticket1545: resets below came up as errors, one call in eight, and closed W from 8 to 3 while
     # all answers were quick; another instance before the same servers held 8 and refused nothing.
