--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -133,11 +133,17 @@
             counts, self.counts = self.counts + self.upstreams.counts, Counter()
             self.upstreams.counts.clear()
             admission = self.balancer.admission
+            kinds = self.balancer.kinds.values()
+            states = Counter(
+                "ejected" if s.ejected_until and s.state is api.ServerState.SERVING else s.state.value
+                for s in self.balancer.servers.known.values()
+            )
             log.info(
-                "figures: W %.1f, procQ %.3f, rate %.1f, cut %g, out %d, held %d, servers %d of %d; %s",
+                "figures: W %.1f, procQ %.3f, rate %.1f, cut %g, out %d, held %d, servers %s, targets %s; %s",
                 admission.window, admission.proc, admission.rate, admission.cut, self.balancer.busy,
-                len(self.balancer.queue), sum(not s.ejected_until for s in self.balancer.servers.pool),
-                len(self.balancer.servers.known),
+                len(self.balancer.queue),
+                " ".join(f"{state} {count}" for state, count in sorted(states.items())),
+                " ".join(f"{kind.name} {kind.target:.2f} of mean {kind.mean.value:.2f}" for kind in kinds),
                 ", ".join(f"{name} {count}" for name, count in sorted(counts.items())),
             )  # fmt: skip
 
