A proxy that ends tells the module when each call must be answered; log its start and its end

The driver cut calls at the end of the process while the module planned with the client's whole budget, so calls were sent that were bound to be cut off as failed.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -54,9 +54,11 @@
     longest = max(cls.deadline for cls in driver.settings.classes)
     answered_by = min(longest, LONGEST_WAIT) + KILL_SPARE - SPARE
     driver.end_by = time.monotonic() + answered_by
+    log.info("SIGTERM: %d connections, %d calls open", len(server.connections), len(driver.calls))
     await asyncio.sleep(LAST_ACCEPT)
     server.stop_listening()
     await asyncio.sleep(max(0.0, answered_by - WIND_DOWN - LAST_ACCEPT))
+    log.info("winding down: %d connections, %d calls open", len(server.connections), len(driver.calls))
     server.draining = True
     server.close_idle()
     while driver.calls:
@@ -93,12 +95,14 @@
     loop.add_signal_handler(signal.SIGHUP, reload, driver)  # before it is ready, and for good
     driver.start()
     await server.listen(*config.listen)
+    log.info("listening, %s", "ready" if driver.ready() else "not ready: no backend is known to serve")
     # What is alive now stays alive: it need not be looked at again and again in pauses that calls wait for.
     gc.collect()
     gc.freeze()
     gc.set_threshold(50_000, 20, 50)
     await term.wait()
     await drain(server, driver)
+    driver.write_figures()
     driver.stop()
 
 
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -124,11 +124,14 @@
 
     def start(self) -> None:
         self._flush()
-        self.loop.call_later(FIGURES_EVERY, self._write_figures)
+        self.loop.call_later(FIGURES_EVERY, self._figures_due)
 
-    def _write_figures(self) -> None:
+    def _figures_due(self) -> None:
+        self.loop.call_later(FIGURES_EVERY, self._figures_due)
+        self.write_figures()
+
+    def write_figures(self) -> None:
         """What happened and where the module stands: tells a bad stretch from a good one."""
-        self.loop.call_later(FIGURES_EVERY, self._write_figures)
         if self.counts:
             counts, self.counts = self.counts + self.upstreams.counts, Counter()
             self.upstreams.counts.clear()
@@ -239,7 +242,7 @@
             api.Arrival(
                 call=number,
                 cls=request.cls,
-                budget=deadline - MODULE_MARGIN - now,
+                budget=call.deadline - MODULE_MARGIN - now,
                 tenant=request.tenant,
                 work=request.work,
                 resent=request.resent,
--- /dev/null
+++ b/tests/test_driver.py
@@ -0,0 +1,60 @@
+"""What the driver tells the module of a request."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import Any
+
+from helpers import settings
+from netkit import run
+
+from granitepoint.interface import Arrival
+from granitepoint.net.config import Config
+from granitepoint.net.driver import Driver
+from granitepoint.net.server import Request
+
+
+class NoReply:
+    def answer(self, code: int, headers: Any, body: bytes) -> None:
+        raise AssertionError("nothing is answered here")
+
+
+def request(came: float) -> Request:
+    return Request(
+        id=b"1",
+        cls="safe",
+        budget=1.9,
+        tenant="",
+        subject="",
+        work=0.0,
+        resent=False,
+        head=b"",
+        body=b"",
+        came=came,
+    )
+
+
+def test_the_module_knows_when_a_proxy_that_ends_must_have_answered() -> None:
+    """Told the client's budget alone, it sends what the end of the process cuts off as failed."""
+
+    async def test() -> None:
+        nowhere = ("127.0.0.1", 9)
+        config = Config("n0", nowhere, nowhere, 1, sockets=256, memory_mb=64.0, known={}, settings=settings())
+        driver = Driver(config)
+        driver.opened(request(time.monotonic()), NoReply())
+        usual = driver.events[-1]
+        assert isinstance(usual, Arrival) and usual.budget > 1.5
+        driver.end_by = time.monotonic() + 0.5
+        second = request(time.monotonic())
+        second.id = b"2"
+        driver.opened(second, NoReply())
+        last = driver.events[-1]
+        assert isinstance(last, Arrival) and last.budget <= 0.5
+        for call in driver.calls.values():
+            assert call.timer is not None
+            call.timer.cancel()
+        if isinstance(driver.flush_at, asyncio.Handle):
+            driver.flush_at.cancel()
+
+    run(test())
