--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -410,6 +410,21 @@
     assert 2 <= probes <= 12
 
 
+def test_a_busy_instance_probes_once_in_twenty_calls() -> None:
+    # Every call of a request passes an instance, five on three tiers, so a pace of 0.15 a call was 0.75 of
+    # a probe a request: 4 to 5 points in 100 on each day, more than any pick by fresher figures gained.
+    driver = Driver(settings(may_probe=True), servers=entries(*range(1, 9)))
+    driver.wait(5.0)
+    probes, calls = 0, 400
+    for call in range(calls):
+        said = [*driver.arrive(call, "once"), *driver.wait(0.05)]
+        driver.settle(only_send(said), Status.OK)
+        asked = [a for a in said if isinstance(a, Probe)]
+        probes += len(asked)
+        driver.feed(*[Probed(a.server, Status.OK, 0.001, {"busy_reqs": 1.0}) for a in asked])
+    assert calls / 40 <= probes <= calls / 16
+
+
 def test_a_silent_connection_holds_no_place_and_is_no_sign_of_a_crowd() -> None:
     # Found on ticket2466: one attempt in sixty was never answered, on servers that went on serving others.
     # Each held a place of W for 3 s, and their waits raised procQ: up to 40% was refused.
