Renew a watch after 20 s beside the open one: a silent one was given up too late

Ruled out: a list read and not kept to (no send follows "draining" in any log), a connect that ends after the list (may_start looks again), the module's pick (only SERVING passes the gate). It is the list that was not asked for.

At fault: discovery.py, HOLD_MS and PATIENCE in _watching (24 s of silence against 22 s), and the way out through on_failed, after which the module pauses 1 to 2 s more. Silence can't be told from a list that does not change, so the next call now goes out after 20 s beside the open one, which may wait for 25 s: as many calls as before, and 7 s in which one that fails is tried again. The first list of a new address (SIGHUP, 4 s) is asked for again after 2.5 s of silence.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -18,12 +18,15 @@
 
 log = logging.getLogger(__name__)
 
-HOLD_MS = 20_000  # how long a watch may wait: a call costs discovery work, and it serves all proxies
+RENEW = 20.0  # s after which a watch that has said nothing is asked anew: it may have fallen silent
+HOLD_MS = 25_000  # how long a watch may wait; what a silent one misses counts as told 2 s after that
 PATIENCE = 4.0  # s beyond a call's own wait after which it has failed: calls wait in turn
+RENEW_SPACING = 0.5  # s between tries to renew a watch, while the one before still waits
 CONNECT_TIMEOUT = 1.0  # s
 LEAST_SPACING = 0.05  # s between two watches, should discovery answer each at once
 LARGEST = 8 << 20  # bytes of an answer
 MOVE_SPACING = 0.2  # s between tries for the first list of a new address
+MOVE_AGAIN = 2.5  # s after which the first list is asked for once more, beside the call that is out
 MOVE_TRIES = 15  # such tries, before the module is told that the call failed
 
 STATES = {"Ready": ServerState.SERVING, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
@@ -185,33 +188,50 @@
                 task.cancel()
 
     async def _watching(self) -> None:
-        channel = _Channel()
+        """Call after call. Silence looks like a list that does not change, so no watch is waited for longer
+        than RENEW: the next call goes out beside it, early enough to be tried again before what a silent one
+        missed counts as told. The one before stays until it ends, for it may be the one that is told."""
         loop = asyncio.get_running_loop()
+        asks: dict[asyncio.Task[bool], _Channel] = {}
+        channel, tries = _Channel(), 0
         try:
-            tries = 0
-            while self.version is None:
-                tries += 1
-                if not await self._ask(channel, "/v1/servers", PATIENCE, tell=tries >= MOVE_TRIES):
-                    if tries >= MOVE_TRIES:
-                        return
-                    await asyncio.sleep(MOVE_SPACING)
             while True:
-                begun = loop.time()
-                target = f"/v1/servers?from={self.version}&hold_ms={HOLD_MS}"
-                if not await self._ask(channel, target, HOLD_MS / 1000 + PATIENCE):
+                begun, first = loop.time(), self.version is None
+                if first:
+                    newest = loop.create_task(self._ask(channel, "/v1/servers", PATIENCE))
+                else:
+                    target = f"/v1/servers?from={self.version}&hold_ms={HOLD_MS}"
+                    newest = loop.create_task(self._ask(channel, target, HOLD_MS / 1000 + PATIENCE))
+                asks[newest] = channel
+                await asyncio.wait([newest], timeout=MOVE_AGAIN if first else RENEW)
+                for ask in [ask for ask in asks if ask.done() and ask is not newest]:
+                    asks.pop(ask).close()
+                tries = tries + 1 if self.version is None else 0
+                if not newest.done():
+                    channel = _Channel()
+                    continue
+                del asks[newest]
+                if newest.result():
+                    await asyncio.sleep(max(0.0, begun + LEAST_SPACING - loop.time()))
+                elif asks or (first and tries < MOVE_TRIES):
+                    await asyncio.sleep(MOVE_SPACING if first else RENEW_SPACING)
+                else:
+                    self.on_failed()
                     return
-                await asyncio.sleep(max(0.0, begun + LEAST_SPACING - loop.time()))
         finally:
             channel.close()
+            for ask in asks:
+                ask.cancel()
 
     async def _fetching(self) -> None:
         channel = _Channel()
         try:
-            await self._ask(channel, "/v1/servers", PATIENCE)
+            if not await self._ask(channel, "/v1/servers", PATIENCE):
+                self.on_failed()
         finally:
             channel.close()
 
-    async def _ask(self, channel: _Channel, target: str, timeout: float, tell: bool = True) -> bool:
+    async def _ask(self, channel: _Channel, target: str, timeout: float) -> bool:
         """Whatever goes wrong ends this call only: a watch that ended untold would never be renewed."""
         try:
             code, body = await channel.get(self.at, target, timeout)
@@ -221,8 +241,6 @@
             self.on_list(listing)
         except Exception as fault:
             log.warning("discovery %s:%d: %s", *self.at, str(fault)[:200] or type(fault).__name__)
-            if tell:
-                self.on_failed()
             return False
         self.version = listing.version
         return True
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,163 @@
+"""Discovery's side on real sockets: what falls silent, fails or comes in another order than asked for."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from typing import Any
+
+import pytest
+from netkit import PATIENCE, endpoint, listing, read_message, response, run
+
+from granitepoint.net import discovery as net
+from granitepoint.net.discovery import Listing
+
+HERE = "127.0.0.1:9"
+
+
+class Ask:
+    """A call as discovery got it, answered when the test says so."""
+
+    def __init__(self, target: str, connection: int, writer: asyncio.StreamWriter) -> None:
+        self.target, self.connection, self.writer = target, connection, writer
+
+    def answer(self, index: int, *endpoints: dict[str, Any], snapshot: bool = False) -> None:
+        self.writer.write(response(200, json.dumps(listing(index, *endpoints, snapshot=snapshot)).encode()))
+
+    def fail(self) -> None:
+        self.writer.write(response(503))
+
+
+class OnCommand:
+    """A discovery that says nothing unless told to, on any number of connections, and what the client made
+    of it."""
+
+    def __init__(self) -> None:
+        self.asks: asyncio.Queue[Ask] = asyncio.Queue()
+        self.lists: asyncio.Queue[Listing] = asyncio.Queue()
+        self.failures = 0
+        self.connections = 0
+
+    async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.connections += 1
+        number = self.connections
+        with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+            while True:
+                line, _, _ = await read_message(reader)
+                self.asks.put_nowait(Ask(line.split(" ")[1], number, writer))
+        writer.close()
+
+    def _failed(self) -> None:
+        self.failures += 1
+
+    @contextlib.asynccontextmanager
+    async def client(self) -> Any:
+        server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
+        client = net.Discovery(server.sockets[0].getsockname()[:2], 1, self.lists.put_nowait, self._failed)
+        try:
+            async with asyncio.timeout(PATIENCE):
+                yield client
+        finally:
+            client.stop()
+            server.close()
+
+    async def next(self, target: str) -> Ask:
+        ask = await self.asks.get()
+        assert ask.target.startswith(target), ask.target
+        return ask
+
+
+def states(told: Listing) -> list[str]:
+    return [listed.entry.state.value for listed in told.backends]
+
+
+def test_a_watch_is_renewed_early_enough_to_be_tried_again_before_silence_counts_as_told() -> None:
+    told = net.HOLD_MS / 1000 + 2.0
+    assert told - net.RENEW >= 2 * (2.0 + net.RENEW_SPACING)  # a call may wait 2 s, and then fail
+    assert net.MOVE_AGAIN < 4.0  # after SIGHUP
+    assert net.HOLD_MS <= 60_000
+
+
+def test_a_silent_watch_is_asked_anew_beside_the_open_one(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Nothing ends the first call: no answer, no close. The change that it missed comes with the second."""
+    monkeypatch.setattr(net, "RENEW", 0.05)
+
+    async def test() -> None:
+        peer = OnCommand()
+        async with peer.client() as client:
+            client.watch(True)
+            silent = await peer.next("/v1/servers?from=1&hold_ms=")
+            second = await peer.next("/v1/servers?from=1&hold_ms=")
+            assert second.connection != silent.connection
+            monkeypatch.setattr(net, "RENEW", PATIENCE)
+            second.answer(2, endpoint("s-1", HERE, "Terminating"))
+            assert states(await peer.lists.get()) == ["draining"]
+            await peer.next("/v1/servers?from=")
+            assert not silent.writer.is_closing() and peer.failures == 0
+
+    run(test())
+
+
+def test_a_change_told_on_the_watch_that_is_being_renewed_is_taken(monkeypatch: pytest.MonkeyPatch) -> None:
+    """What discovery writes counts as told, whichever of the two calls it is written to."""
+    monkeypatch.setattr(net, "RENEW", 0.05)
+
+    async def test() -> None:
+        peer = OnCommand()
+        async with peer.client() as client:
+            client.watch(True)
+            first = await peer.next("/v1/servers?from=1&")
+            await peer.next("/v1/servers?from=1&")
+            first.answer(2, endpoint("s-1", HERE, "Terminating"))
+            assert states(await peer.lists.get()) == ["draining"]
+
+    run(test())
+
+
+def test_a_renewal_that_fails_is_tried_again_while_the_watch_before_it_waits(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The module's pause after a failure would be longer than what is left."""
+    monkeypatch.setattr(net, "RENEW", 0.05)
+    monkeypatch.setattr(net, "RENEW_SPACING", 0.01)
+
+    async def test() -> None:
+        peer = OnCommand()
+        async with peer.client() as client:
+            client.watch(True)
+            first = await peer.next("/v1/servers?from=1&")
+            monkeypatch.setattr(net, "RENEW", PATIENCE)
+            (await peer.next("/v1/servers?from=1&")).fail()
+            (await peer.next("/v1/servers?from=1&")).fail()
+            (await peer.next("/v1/servers?from=1&")).answer(2)
+            assert (await peer.lists.get()).version == 2 and peer.failures == 0
+            first.writer.transport.abort()  # the one before it ends: no failure while a later one is open
+            last = await peer.next("/v1/servers?from=2&")
+            assert peer.failures == 0
+            last.fail()  # nothing else is out: the module decides when to ask again
+            while not peer.failures:
+                await asyncio.sleep(0)
+
+    run(test())
+
+
+def test_the_first_list_of_a_new_address_is_asked_for_again_if_the_call_is_silent(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(net, "MOVE_AGAIN", 0.05)
+
+    async def test() -> None:
+        peer = OnCommand()
+        async with peer.client() as client:
+            client.move(client.at)
+            silent = await peer.next("/v1/servers")
+            second = await peer.next("/v1/servers")
+            assert "from" not in silent.target + second.target
+            monkeypatch.setattr(net, "MOVE_AGAIN", PATIENCE)
+            second.answer(9, endpoint("s-1", HERE), snapshot=True)
+            while (await peer.asks.get()).target == "/v1/servers":
+                pass  # a third may have gone out meanwhile
+            assert (await peer.lists.get()).version == 9 and peer.failures == 0
+
+    run(test())
