Drop a list that comes after a newer one and was asked for before that came

Seen in a test, not in service: with a fetch and a watch in flight, the fetch's whole list (version 6) came after the watch's change (version 7) and brought the draining backend back as Ready; _ask took whatever came last.

At fault: discovery.py, _ask: self.on_list without a look at the version. Versions alone are not enough, for a discovery that starts anew counts from below: what was asked for after the last list came is taken whatever its number.

Tests: an older whole list after a newer change is dropped (fails before); lower versions of a new start are taken.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -160,6 +160,7 @@
         self.at = at
         self.version: int | None = version  # None: nothing is known of this server's versions yet
         self.on_list, self.on_failed = on_list, on_failed
+        self.lists = 0  # taken so far
         self._watch: asyncio.Task[None] | None = None
         self._fetches: set[asyncio.Task[None]] = set()
 
@@ -233,14 +234,19 @@
 
     async def _ask(self, channel: _Channel, target: str, timeout: float) -> bool:
         """Whatever goes wrong ends this call only: a watch that ended untold would never be renewed."""
+        lists = self.lists
         try:
             code, body = await channel.get(self.at, target, timeout)
             if code != 200:
                 raise ValueError(f"status {code}")
             listing = read_listing(json.loads(body))
+            if lists != self.lists and self.version is not None and listing.version < self.version:
+                log.info("list %d comes after list %d and is dropped", listing.version, self.version)
+                return True
             self.on_list(listing)
         except Exception as fault:
             log.warning("discovery %s:%d: %s", *self.at, str(fault)[:200] or type(fault).__name__)
             return False
+        self.lists += 1
         self.version = listing.version
         return True
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -161,3 +161,41 @@
             assert (await peer.lists.get()).version == 9 and peer.failures == 0
 
     run(test())
+
+
+def test_a_whole_list_that_was_asked_for_before_a_newer_change_came_is_dropped() -> None:
+    """It would bring a draining backend back."""
+
+    async def test() -> None:
+        peer = OnCommand()
+        async with peer.client() as client:
+            client.fetch()
+            fetched = await peer.next("/v1/servers")
+            client.watch(True)
+            watched = await peer.next("/v1/servers?from=1&")
+            watched.answer(7, endpoint("s-1", HERE, "Terminating"))
+            assert states(await peer.lists.get()) == ["draining"]
+            next_watch = await peer.next("/v1/servers?from=7&")
+            fetched.answer(6, endpoint("s-1", HERE), snapshot=True)
+            while client._fetches:
+                await asyncio.sleep(0)
+            next_watch.answer(8, endpoint("s-2", HERE))
+            await peer.next("/v1/servers?from=8&")
+            assert (await peer.lists.get()).version == 8 and peer.lists.empty()
+
+    run(test())
+
+
+def test_lower_versions_of_a_discovery_that_started_anew_are_taken() -> None:
+    """Asked for after the last list came, so it is no older than that."""
+
+    async def test() -> None:
+        peer = OnCommand()
+        async with peer.client() as client:
+            client.watch(True)
+            (await peer.next("/v1/servers?from=1&")).answer(7, endpoint("s-1", HERE))
+            (await peer.next("/v1/servers?from=7&")).answer(2, endpoint("s-2", HERE), snapshot=True)
+            await peer.next("/v1/servers?from=2&")
+            assert [(await peer.lists.get()).version for _ in range(2)] == [7, 2]
+
+    run(test())
