--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import re
+import select
 import time
 from collections import deque
 from collections.abc import Mapping
@@ -28,6 +29,7 @@
 RESERVE = 24  # descriptors for the listener, discovery, the loop and the log, at 240 and more
 # Who makes room, in this order: who has asked nothing yet (fresh) or no more (kept) for so many s.
 YIELDS = (("fresh", 0.3), ("kept", 2.0), ("fresh", 0.05), ("kept", 0.5))
+GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the other side has closed or reset
 EXTRA_SHARE = 0.12  # of the callers' connections, where a newcomer is told that there is no room
 BASE_MEMORY = 20  # MB of the process before it serves
 CALLER_MEMORY = 0.125  # MB that a connection may hold: a request with its copy, and an answer
@@ -188,6 +190,7 @@
         self.waiting.clear()
         self.server.place(self, None)
         self.server.connections.discard(self)
+        self.server.unread.discard(self)
         call, self.call = self.call, None
         if call is not None:
             self.server.handler.left(call)
@@ -206,8 +209,10 @@
             pause = self.full or bool(self.waiting)  # so it holds one read's worth of bodies at most
             if pause and not self.paused:
                 self.transport.pause_reading()
+                self.server.unread.add(self)
             elif self.paused and not pause:
                 self.transport.resume_reading()
+                self.server.unread.discard(self)
             self.paused = pause
 
     def data_received(self, data: bytes) -> None:
@@ -369,6 +374,11 @@
         else:
             self.close()
 
+    @property
+    def fileno(self) -> int:
+        assert self.transport is not None
+        return int(self.transport.get_extra_info("socket").fileno())
+
     def abort(self) -> None:
         self.leaving = True
         if self.transport is not None:
@@ -391,6 +401,7 @@
         self.most_ever = max(8, min(sockets - others, by_memory))
         self.most_open = self.most_ever - int(self.most_ever * EXTRA_SHARE)
         self.connections: set[ClientConnection] = set()
+        self.unread: set[ClientConnection] = set()  # not read from for now
         self.fresh: dict[ClientConnection, None] = {}  # owe a whole request
         self.kept: dict[ClientConnection, None] = {}  # answered, and asking nothing
         self.leaving: dict[ClientConnection, None] = {}  # have had their last answer
@@ -463,6 +474,7 @@
             self.sweep_due = now
             self.loop.call_later(ONE_TURN, self._sweep)
             return
+        self._end_those_that_left()
         for table, bound, end in (
             (self.fresh, WHOLE, ClientConnection.too_late),
             (self.kept, KEPT, ClientConnection.close),
@@ -476,3 +488,15 @@
             for connection in due:
                 end(connection)
         self._sweep_later()
+
+    def _end_those_that_left(self) -> None:
+        """The end of a connection that is not read from lies behind what is unread, so the loop does not hear
+        of it: a request of a client that has gone would still be sent on."""
+        poll, watched = select.poll(), {}
+        for connection in self.unread:
+            if connection.transport is not None:
+                watched[connection.fileno] = connection
+                poll.register(connection.fileno, GONE)
+        for number, _ in poll.poll(0) if watched else ():
+            log.info("a caller left with bytes unread behind its request")
+            watched[number].abort()
--- /dev/null
+++ b/tests/test_endings.py
@@ -0,0 +1,236 @@
+"""The instants in which something is still owed while something else ends, each forced by the test's peer."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+import struct
+from collections.abc import AsyncIterator, Callable
+from typing import Any
+
+import pytest
+from netkit import (
+    PATIENCE,
+    SETTINGS,
+    Backend,
+    Behaviour,
+    Caller,
+    Seen,
+    endpoint,
+    listing,
+    next_call,
+    response,
+    run,
+    serve_ok,
+)
+
+from granitepoint.benchlink import read_settings
+from granitepoint.interface import Effect
+from granitepoint.net.config import Config, flatten
+from granitepoint.net.discovery import read_listing
+from granitepoint.net.driver import Driver
+from granitepoint.net.server import Request, Server
+
+STOCK = b"GET /stock HTTP/1.1\r\nX-Call-Id: %016d\r\nX-Budget: 9000m\r\n\r\n"
+
+
+class Held:
+    """A handler that holds each request until the test answers it."""
+
+    def __init__(self) -> None:
+        self.taken: asyncio.Queue[tuple[Request, Any]] = asyncio.Queue()
+        self.gone: asyncio.Queue[Request] = asyncio.Queue()
+
+    def opened(self, request: Request, reply: Any) -> Request:
+        self.taken.put_nowait((request, reply))
+        return request
+
+    def left(self, call: Request) -> None:
+        self.gone.put_nowait(call)
+
+    def ready(self) -> bool:
+        return True
+
+
+@contextlib.asynccontextmanager
+async def callers_side(handler: Held, sockets: int = 256) -> AsyncIterator[tuple[Server, int]]:
+    server = Server({"stock": Effect.REPEATABLE}, handler, sockets, 64)
+    port = await server.listen("127.0.0.1", 0)
+    try:
+        async with asyncio.timeout(PATIENCE):
+            yield server, port
+    finally:
+        server.stop_listening()
+        for connection in list(server.connections):
+            connection.abort()
+
+
+def close(caller: socket.socket) -> None:
+    caller.close()
+
+
+def reset(caller: socket.socket) -> None:
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    caller.close()
+
+
+BEHIND = {
+    "nothing": b"",
+    "a request": STOCK % 2,
+    "half a request": (STOCK % 2)[:30],
+    "much": b"".join(STOCK % number for number in range(2, 3000)),
+}
+
+
+@pytest.mark.parametrize("end", [close, reset])
+@pytest.mark.parametrize("behind", BEHIND.values(), ids=BEHIND)
+def test_a_caller_that_leaves_is_seen_whatever_it_sent_behind_its_request(
+    behind: bytes, end: Callable[[socket.socket], None]
+) -> None:
+    """Reading stops while a further request waits, and the end lies behind what is unread."""
+
+    async def test() -> None:
+        handler = Held()
+        async with callers_side(handler) as (server, port):
+            with socket.create_connection(("127.0.0.1", port)) as caller:
+                caller.sendall(STOCK % 1 + behind)
+                request, _ = await handler.taken.get()
+                assert handler.gone.empty()
+                end(caller)
+            assert await handler.gone.get() is request
+            while server.connections:
+                await asyncio.sleep(0)
+            assert handler.taken.empty() and not server.unread
+
+    run(test())
+
+
+class Node:
+    """The proxy's two sides and its module in this process, so that a test holds what lies between them."""
+
+    def __init__(self, driver: Driver, server: Server, port: int, backend: Backend) -> None:
+        self.driver, self.server, self.port, self.backend = driver, server, port, backend
+        self.version = 1
+
+    async def caller(self) -> Caller:
+        return Caller(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    def lists(self, status: str) -> None:
+        """Discovery tells that the backend is in this state."""
+        self.version += 1
+        told = read_listing(listing(self.version, endpoint("s-1", self.backend.address, status)))
+        self.driver._on_list(told)
+
+    async def served(self, id: str) -> None:
+        assert (await (await self.caller()).call("stock", id)).code == 200
+
+    async def until(self, done: Callable[[], bool]) -> None:
+        while not done():
+            await asyncio.sleep(0)
+
+
+@contextlib.asynccontextmanager
+async def node(behave: Behaviour = serve_ok, status: str = "Ready", **changes: Any) -> AsyncIterator[Node]:
+    backend = await Backend(behave).start()
+    known = listing(1, endpoint("s-1", backend.address, status))
+    settings = read_settings(flatten({**SETTINGS, **changes}))
+    nowhere = ("127.0.0.1", 9)
+    driver = Driver(Config("n0", nowhere, nowhere, 1, 256, 64.0, known, settings))
+    server = Server(driver.effects, driver, 256, 64)
+    driver.start()
+    port = await server.listen("127.0.0.1", 0)
+    try:
+        async with asyncio.timeout(PATIENCE):
+            yield Node(driver, server, port, backend)
+    finally:
+        server.stop_listening()
+        driver.stop()
+        for connection in list(server.connections):
+            connection.abort()
+        await backend.stop()
+
+
+def rejected(seen: Seen, writer: asyncio.StreamWriter) -> None:
+    writer.write(response(503, X_Rejected="1"))
+
+
+FIRST, SECOND = "f" * 16, "e" * 16
+
+
+@pytest.mark.parametrize("behind", [b"", STOCK % 2], ids=["alone", "with bytes behind it"])
+def test_a_request_whose_caller_left_while_it_was_queued_is_not_sent_on(behind: bytes) -> None:
+    async def test() -> None:
+        async with node(status="Terminating") as here:
+            caller = await here.caller()
+            caller.send("canje", FIRST, budget="6000m")
+            caller.writer.write(behind)
+            await here.until(lambda: bool(here.driver.balancer.queue))
+            caller.writer.close()
+            await here.until(lambda: not here.driver.calls)
+            here.lists("Ready")
+            await here.served(SECOND)
+            assert (await next_call(here.backend)).headers["x-call-id"] == SECOND
+            assert here.backend.count == 1 and not here.driver.ids
+
+    run(test())
+
+
+@pytest.mark.parametrize("behind", [b"", STOCK % 2], ids=["alone", "with bytes behind it"])
+def test_a_request_whose_caller_left_while_it_connected_is_not_sent_on(
+    behind: bytes, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def test() -> None:
+        async with node(policy_limits={**SETTINGS["policy_limits"], "connect_timeout": PATIENCE}) as here:
+            loop = asyncio.get_running_loop()
+            connect, asked, up = loop.create_connection, asyncio.Event(), asyncio.Event()
+
+            async def slow(*args: Any) -> Any:
+                asked.set()
+                await up.wait()
+                return await connect(*args)
+
+            caller = await here.caller()
+            other = await here.caller()
+            monkeypatch.setattr(here.driver.upstreams.loop, "create_connection", slow)
+            caller.send("canje", FIRST, budget="6000m")
+            caller.writer.write(behind)
+            await asked.wait()
+            caller.writer.close()
+            await here.until(lambda: not here.driver.calls)
+            up.set()
+            assert (await other.call("stock", SECOND)).code == 200
+            assert (await next_call(here.backend)).headers["x-call-id"] == SECOND
+            assert here.backend.count == 1 and not here.driver.ids
+
+    run(test())
+
+
+@pytest.mark.parametrize("behind", [b"", STOCK % 2], ids=["alone", "with bytes behind it"])
+def test_a_request_whose_caller_left_between_attempts_is_not_sent_again(behind: bytes) -> None:
+    async def test() -> None:
+        turn_away = asyncio.Event()
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            if seen.headers["x-call-id"] == FIRST:
+                await turn_away.wait()
+                rejected(seen, writer)
+            else:
+                await serve_ok(seen, writer)
+
+        async with node(behave) as here:
+            caller = await here.caller()
+            caller.send("canje", FIRST, budget="6000m")
+            caller.writer.write(behind)
+            assert (await next_call(here.backend)).headers["x-call-id"] == FIRST
+            here.lists("Terminating")  # so the next attempt has to wait
+            turn_away.set()
+            await here.until(lambda: bool(here.driver.balancer.queue))
+            caller.writer.close()
+            await here.until(lambda: not here.driver.calls)
+            here.lists("Ready")
+            await here.served(SECOND)
+            assert (await next_call(here.backend)).headers["x-call-id"] == SECOND
+            assert here.backend.count == 2 and not here.driver.ids
+
+    run(test())
