Leave a caller's connection whose next request lies unread in its socket

Ruled out: a request whose bytes the loop has read (raw, or another table, keeps its connection), answers under way.

At fault: server.py, _make_room, close_idle and _sweep, which go by what the loop has read so far, while timers run before sockets.

Tests: four, each of which fails on the code before.

--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -10,6 +10,7 @@
 from collections import deque
 from collections.abc import Mapping
 from dataclasses import dataclass
+from itertools import islice, takewhile
 from typing import Any, Protocol, cast
 
 import httptools
@@ -30,6 +31,7 @@
 # Who makes room, in this order: who has asked nothing yet (fresh) or no more (kept) for so many s.
 YIELDS = (("fresh", 0.3), ("kept", 2.0), ("fresh", 0.05), ("kept", 0.5))
 GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the other side has closed or reset
+LOOKED_AT = 8  # of these at most, for one in whose socket no request lies
 EXTRA_SHARE = 0.12  # of the callers' connections, where a newcomer is told that there is no room
 BASE_MEMORY = 20  # MB of the process before it serves
 CALLER_MEMORY = 0.125  # MB that a connection may hold: a request with its copy, and an answer
@@ -379,6 +381,14 @@
         assert self.transport is not None
         return int(self.transport.get_extra_info("socket").fileno())
 
+    def has_unread(self) -> bool:
+        """Whether something lies in its socket that the loop has yet to read: by now it may be a request."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        poll = select.poll()
+        poll.register(self.fileno, select.POLLIN)
+        return bool(poll.poll(0))
+
     def abort(self) -> None:
         self.leaving = True
         if self.transport is not None:
@@ -434,11 +444,13 @@
             next(iter(self.leaving)).abort()
             return True
         for which, age in YIELDS:
-            oldest = next(iter(self.kept if which == "kept" else self.fresh), None)
-            if oldest is not None and oldest.since <= now - age:
-                self.place(oldest, None)
-                oldest.abort()
-                return True
+            for oldest in islice(self.kept if which == "kept" else self.fresh, LOOKED_AT):
+                if oldest.since > now - age:
+                    break
+                if not oldest.has_unread():
+                    self.place(oldest, None)
+                    oldest.abort()
+                    return True
         return False
 
     async def listen(self, host: str, port: int) -> int:
@@ -455,7 +467,7 @@
     def close_idle(self, partial: bool = False) -> None:
         """All that ask nothing, and on demand those whose request has only begun to come."""
         for connection in [*self.kept, *self.fresh]:
-            if partial or not connection.raw:
+            if (partial or not connection.raw) and not connection.has_unread():
                 connection.close()
 
     def abort_leaving(self) -> None:
@@ -480,15 +492,17 @@
             (self.kept, KEPT, ClientConnection.close),
             (self.leaving, LINGER, ClientConnection.abort),
         ):
-            due = []
-            for connection in table:
-                if connection.since > now - bound:
-                    break
-                due.append(connection)
-            for connection in due:
-                end(connection)
+            for connection in self._older(table, now - bound):
+                # What has just come is read first; what then is still not whole is overdue.
+                first_look = table is not self.leaving and connection.since > now - bound - SWEEP
+                if not (first_look and connection.has_unread()):
+                    end(connection)
         self._sweep_later()
 
+    @staticmethod
+    def _older(table: dict[ClientConnection, None], than: float) -> list[ClientConnection]:
+        return list(takewhile(lambda connection: connection.since <= than, table))
+
     def _end_those_that_left(self) -> None:
         """The end of a connection that is not read from lies behind what is unread, so the loop does not hear
         of it: a request of a client that has gone would still be sent on."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -30,7 +30,7 @@
 from granitepoint.net.config import Config, flatten
 from granitepoint.net.discovery import read_listing
 from granitepoint.net.driver import Driver
-from granitepoint.net.server import Request, Server
+from granitepoint.net.server import KEPT, WHOLE, Request, Server
 
 STOCK = b"GET /stock HTTP/1.1\r\nX-Call-Id: %016d\r\nX-Budget: 9000m\r\n\r\n"
 
@@ -239,3 +239,61 @@
             assert here.backend.count == 2 and not here.driver.ids
 
     run(test())
+
+
+async def asked_while_the_loop_looks_away(server: Server, port: int, handler: Held) -> socket.socket:
+    """A caller that was answered; its next request lies in the socket, and the loop has not run since."""
+    caller = socket.create_connection(("127.0.0.1", port))
+    caller.sendall(STOCK % 1)
+    _, reply = await handler.taken.get()
+    reply.answer(200, (), b"")
+    assert server.kept
+    caller.sendall(STOCK % 2)
+    return caller
+
+
+def end_idle(server: Server) -> None:
+    server.close_idle(partial=True)
+
+
+def end_kept_for_long(server: Server) -> None:
+    for connection in server.kept:
+        connection.since -= KEPT
+    server._sweep()
+
+
+def make_room(server: Server) -> None:
+    for connection in server.kept:
+        connection.since -= KEPT
+    assert not server._make_room()
+
+
+@pytest.mark.parametrize("end", [end_idle, end_kept_for_long, make_room])
+def test_a_close_that_crosses_a_request_leaves_the_connection(end: Callable[[Server], None]) -> None:
+    """The request came before the close: closing on it would lose it, or make the caller send it anew."""
+
+    async def test() -> None:
+        handler = Held()
+        async with callers_side(handler) as (server, port):
+            with await asked_while_the_loop_looks_away(server, port, handler):
+                end(server)
+                request, _ = await handler.taken.get()
+                assert request.id == b"%016d" % 2
+
+    run(test())
+
+
+def test_a_first_request_that_comes_as_its_time_ends_is_taken() -> None:
+    async def test() -> None:
+        handler = Held()
+        async with callers_side(handler) as (server, port):
+            with socket.create_connection(("127.0.0.1", port)) as caller:
+                while not server.fresh:
+                    await asyncio.sleep(0)
+                for connection in server.fresh:
+                    connection.since -= WHOLE
+                caller.sendall(STOCK % 1)
+                server._sweep()
+                assert (await handler.taken.get())[0].id == b"%016d" % 1
+
+    run(test())
