Hold a watch where lists are pushed: the proxy asked for none and kept to its first list

At fault: logic.py rightly asks for no list where they come unprompted (watching is set from the start), and driver.py and discovery.py asked only when the module did. On sockets a pushed list comes on a watch, so the driver now opens one at the start, and it is opened again 0.1 s after it ends: what the agent has counts as told at once, so there is no pause to decide on, and the module is not told of failures that it would answer with one.

Tests: two, on real sockets and through the program, which fail on the code before.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -25,6 +25,7 @@
 CONNECT_TIMEOUT = 1.0  # s
 LEAST_SPACING = 0.05  # s between two watches, should discovery answer each at once
 LARGEST = 8 << 20  # bytes of an answer
+PUSH_SPACING = 0.1  # s between tries to open a watch on lists that are pushed: they count as told at once
 MOVE_SPACING = 0.2  # s between tries for the first list of a new address
 MOVE_AGAIN = 2.5  # s after which the first list is asked for once more, beside the call that is out
 MOVE_TRIES = 15  # such tries, before the module is told that the call failed
@@ -152,12 +153,18 @@
 
 class Discovery:
     """Asks as the module says, and hands on each list, or that a call failed. Asks nothing by itself, but
-    for the next call of a watch that goes on."""
+    for the next call of a watch that goes on, and where lists are pushed: there the module never asks, and
+    a watch that ends is opened again at once."""
 
     def __init__(
-        self, at: Address, version: int, on_list: Callable[[Listing], None], on_failed: Callable[[], None]
+        self,
+        at: Address,
+        version: int,
+        on_list: Callable[[Listing], None],
+        on_failed: Callable[[], None],
+        pushed: bool = False,
     ) -> None:
-        self.at = at
+        self.at, self.pushed = at, pushed
         self.version: int | None = version  # None: nothing is known of this server's versions yet
         self.on_list, self.on_failed = on_list, on_failed
         self.lists = 0  # taken so far
@@ -214,6 +221,8 @@
                 del asks[newest]
                 if newest.result():
                     await asyncio.sleep(max(0.0, begun + LEAST_SPACING - loop.time()))
+                elif self.pushed:
+                    await asyncio.sleep(PUSH_SPACING)
                 elif asks or (first and tries < MOVE_TRIES):
                     await asyncio.sleep(MOVE_SPACING if first else RENEW_SPACING)
                 else:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -118,12 +118,20 @@
             known = read_listing(config.known) if config.known else Listing(0, True, [])
         except ValueError as fault:
             raise ConfigError(f"bad configuration: known: {fault}") from None
-        self.discovery = Discovery(config.discovery, known.version, self._on_list, self._on_list_failed)
+        self.discovery = Discovery(
+            config.discovery,
+            known.version,
+            self._on_list,
+            self._on_list_failed,
+            pushed=not self.settings.ask_for_list,
+        )
         self.upstreams.apply(known)
         self.events.append(self._server_list(known, api.ListKind.SAVED))
 
     def start(self) -> None:
         self._flush()
+        if self.discovery.pushed:  # on sockets they come on a watch
+            self.discovery.watch(True)
         self.loop.call_later(FIGURES_EVERY, self._figures_due)
 
     def _figures_due(self) -> None:
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -227,7 +227,7 @@
         return f"127.0.0.1:{probe.getsockname()[1]}"
 
 
-def config(discovery: str, known: dict[str, Any], listen: str, **changes: Any) -> dict[str, Any]:
+def config(discovery: str, known: dict[str, Any], listen: str, /, **changes: Any) -> dict[str, Any]:
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": changes.pop("sockets", 1024)}
     return {"name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
             "limits": limits, "known": known, "settings": copy.deepcopy({**SETTINGS, **changes})}  # fmt: skip
@@ -259,7 +259,7 @@
 
 @contextlib.asynccontextmanager
 async def proxy(
-    backends: dict[str, Backend], discovery: Discovery | None = None, **changes: Any
+    backends: dict[str, Backend], discovery: Discovery | None = None, /, **changes: Any
 ) -> AsyncIterator[Proxy]:
     """A proxy before these backends, ready; ended by force if the test has not ended it."""
     own = discovery or await Discovery().start()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -8,7 +8,18 @@
 from typing import Any
 
 import pytest
-from netkit import PATIENCE, endpoint, listing, read_message, response, run
+from netkit import (
+    PATIENCE,
+    Backend,
+    Discovery,
+    endpoint,
+    listing,
+    next_call,
+    proxy,
+    read_message,
+    response,
+    run,
+)
 
 from granitepoint.net import discovery as net
 from granitepoint.net.discovery import Listing
@@ -52,9 +63,10 @@
         self.failures += 1
 
     @contextlib.asynccontextmanager
-    async def client(self) -> Any:
+    async def client(self, pushed: bool = False) -> Any:
         server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
-        client = net.Discovery(server.sockets[0].getsockname()[:2], 1, self.lists.put_nowait, self._failed)
+        at = server.sockets[0].getsockname()[:2]
+        client = net.Discovery(at, 1, self.lists.put_nowait, self._failed, pushed)
         try:
             async with asyncio.timeout(PATIENCE):
                 yield client
@@ -199,3 +211,42 @@
             assert [(await peer.lists.get()).version for _ in range(2)] == [7, 2]
 
     run(test())
+
+
+def test_a_watch_on_pushed_lists_that_ends_is_opened_again_by_itself() -> None:
+    """What is pushed counts as told whether or not a watch is open, so there is no pause to decide on."""
+
+    async def test() -> None:
+        peer = OnCommand()
+        async with peer.client(pushed=True) as client:
+            client.watch(True)
+            (await peer.next("/v1/servers?from=1&")).fail()
+            (await peer.next("/v1/servers?from=1&")).writer.transport.abort()
+            (await peer.next("/v1/servers?from=1&")).answer(2, endpoint("s-1", HERE, "Terminating"))
+            await peer.next("/v1/servers?from=2&")
+            assert states(await peer.lists.get()) == ["draining"] and peer.failures == 0
+            client.move(client.at)  # SIGHUP: the whole list, however often that fails
+            for _ in range(net.MOVE_TRIES + 1):
+                (await peer.next("/v1/servers")).fail()
+            (await peer.next("/v1/servers")).answer(9, snapshot=True)
+            await peer.next("/v1/servers?from=9&")
+            assert peer.failures == 0
+
+    run(test())
+
+
+def test_a_proxy_whose_lists_are_pushed_keeps_to_them() -> None:
+    async def test() -> None:
+        discovery = await Discovery().start()
+        one, two = Backend(), await Backend().start()
+        async with proxy({"s-1": one}, discovery, discovery="push") as node:
+            async with asyncio.timeout(PATIENCE):
+                assert (await discovery.asked.get()).startswith("/v1/servers?from=1&")
+                discovery.put(2, endpoint("s-1", one.address, "Terminating"), endpoint("s-2", two.address))
+                assert (await discovery.asked.get()).startswith("/v1/servers?from=2&")
+            assert (await (await node.caller()).call("canje", "1" * 16)).code == 200
+            await next_call(two)
+            assert one.count == 0
+        await two.stop()
+
+    run(test())
