Let the peer end first where bytes lie unread behind the last answer

A wind-down makes each answer the last, so it meets pipelined callers as well. Ruled out: the case of bad input (broken), which always lingered.

At fault: server.py, close(). It went by what had been found malformed, not by whether bytes lie unread or reading is paused; a close on unread bytes is a reset. Both now end this side only, and wait for the other for LINGER.

Test: fails on the code before with a reset.

--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -361,10 +361,12 @@
         self.leaving = True
         self.waiting.clear()
         self.server.place(self, self.server.leaving)
-        if not self.broken:
+        if not (self.broken or self.paused or self.has_unread()):
             transport.close()
             return
         if self.paused:
+            self.paused = False
+            self.server.unread.discard(self)
             transport.resume_reading()
         transport.write_eof()
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -297,3 +297,27 @@
                 assert (await handler.taken.get())[0].id == b"%016d" % 1
 
     run(test())
+
+
+def test_the_last_answer_arrives_though_bytes_lie_unread_behind_its_request() -> None:
+    """A close on unread bytes is a reset, and takes along what of the answer has not left yet."""
+
+    async def test() -> None:
+        handler = Held()
+        loop = asyncio.get_running_loop()
+        async with callers_side(handler) as (_, port):
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                caller.connect(("127.0.0.1", port))
+                caller.setblocking(False)
+                caller.send((STOCK % 1).replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
+                _, reply = await handler.taken.get()
+                caller.send(b"more")
+                body = bytes(60_000)
+                reply.answer(200, (), body)
+                come = b""
+                while part := await loop.sock_recv(caller, 1 << 16):
+                    come += part
+                assert come.endswith(b"\r\n\r\n" + body)
+
+    run(test())
