Answer what came behind a request in the wind-down before the connection closes

Seen in a test on real sockets: in the wind-down each answer closed its connection, and a further request that had been read (waiting) or lay in the socket went with it unanswered; the proxy had taken it, so it counts as lost. Ruled out: a request that only has begun to come (close_idle decides on it) and clients that ask for the close themselves.

At fault: server.py, answer(): last = ... or draining, whatever waits. An answer is now the last of the wind-down only where nothing has come behind it.

Tests: two, the further request read or unread; both fail on the code before.

--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -338,7 +338,9 @@
         transport = self.transport
         if transport is None:
             return
-        last = not self.keep_alive or self.server.draining
+        # What has come behind it is owed an answer too.
+        wound_up = self.server.draining and not self.waiting and not self.has_unread()
+        last = not self.keep_alive or wound_up
         parts = [b"HTTP/1.1 %d %s\r\n" % (code, REASONS.get(code, b"Status"))]
         parts += [name + b": " + value + b"\r\n" for name, value in headers]
         parts.append(b"content-length: %d\r\n" % len(body))
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -321,3 +321,29 @@
                 assert come.endswith(b"\r\n\r\n" + body)
 
     run(test())
+
+
+@pytest.mark.parametrize("looked", [True, False], ids=["read", "unread"])
+def test_a_request_that_came_behind_another_is_answered_in_the_wind_down(looked: bool) -> None:
+    """It has been taken: the close that comes with the first answer would lose it."""
+
+    async def test() -> None:
+        handler = Held()
+        async with callers_side(handler) as (server, port):
+            caller = Caller(*await asyncio.open_connection("127.0.0.1", port))
+            caller.writer.write(STOCK % 1)
+            _, reply = await handler.taken.get()
+            server.draining = True
+            caller.writer.write(STOCK % 2)
+            while looked and not server.unread:
+                await asyncio.sleep(0)
+            reply.answer(200, (), b"first")
+            assert (await caller.answer()).body == b"first"
+            request, reply = await handler.taken.get()
+            assert request.id == b"%016d" % 2
+            reply.answer(200, (), b"second")
+            answer = await caller.answer()
+            assert (answer.body, answer.headers["connection"]) == (b"second", "close")
+            assert await caller.ended()
+
+    run(test())
