Accept what has connected before the listener closes

Seen in a test on real sockets: a caller whose connection and request the kernel has taken, but the loop has not, is reset when the listener closes 0.6 s after SIGTERM. Ruled out: connections that are accepted.

At fault: __main__.py, drain(), with stop_listening() at a fixed time. The listener is now looked at with poll(), and closes once nothing waits on it, at the latest when all is to be answered; the wind-down begins when it did.

Test: fails on the code before (with the look left out) with a reset.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -56,8 +56,8 @@
     driver.end_by = time.monotonic() + answered_by
     log.info("SIGTERM: %d connections, %d calls open", len(server.connections), len(driver.calls))
     await asyncio.sleep(LAST_ACCEPT)
-    server.stop_listening()
-    await asyncio.sleep(max(0.0, answered_by - WIND_DOWN - LAST_ACCEPT))
+    await server.take_last(driver.end_by)
+    await asyncio.sleep(driver.end_by - WIND_DOWN - time.monotonic())
     log.info("winding down: %d connections, %d calls open", len(server.connections), len(driver.calls))
     server.draining = True
     server.close_idle()
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -464,6 +464,17 @@
         self._sweep_later()
         return int(self.listener.sockets[0].getsockname()[1])
 
+    async def take_last(self, by: float) -> None:
+        """Stops listening once all that has connected is accepted, or at that time: what the kernel holds for
+        a listener when it closes is reset, with the requests that have come on it."""
+        while self.listener is not None and time.monotonic() < by:
+            poll = select.poll()
+            poll.register(self.listener.sockets[0].fileno(), select.POLLIN)
+            if not poll.poll(0):
+                break
+            await asyncio.sleep(ONE_TURN)
+        self.stop_listening()
+
     def stop_listening(self) -> None:
         if self.listener is not None:
             self.listener.close()
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,6 +6,7 @@
 import contextlib
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator, Callable
 from typing import Any
 
@@ -347,3 +348,23 @@
             assert await caller.ended()
 
     run(test())
+
+
+def test_who_has_connected_when_the_listener_closes_is_served() -> None:
+    """The kernel has taken the connection and the request; the loop has not accepted it yet."""
+
+    async def test() -> None:
+        handler = Held()
+        async with callers_side(handler) as (server, port):
+            with socket.create_connection(("127.0.0.1", port)) as caller:
+                caller.sendall(STOCK % 1)
+                await server.take_last(time.monotonic() + PATIENCE)
+                _, reply = await handler.taken.get()
+                reply.answer(200, (), b"served")
+                reader, writer = await asyncio.open_connection(sock=caller.dup())
+                assert (await Caller(reader, writer).answer()).body == b"served"
+                writer.close()
+            with pytest.raises(ConnectionRefusedError):
+                socket.create_connection(("127.0.0.1", port))
+
+    run(test())
