Let a request that has begun to come end in the wind-down, or refuse it

Ruled out: whole requests (they are calls), connections with no byte.

At fault: __main__.py, drain(), and server.py, close_idle(partial=True). What has begun now has 0.2 s, or as long as calls are open, and what is still not whole then is refused with 503: it never went on.

Tests: the rest comes in the wind-down; it never comes. Both fail with the close put back.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -24,6 +24,7 @@
 KILL_SPARE = 0.7  # s that it waits beyond that
 SPARE = 0.4  # s before its SIGKILL by which all is answered
 WIND_DOWN = 1.0  # s before that in which each answer is the last on its connection
+REST = 0.2  # s of the wind-down in which a request that has begun to come may come whole
 DRAIN_STEP = 0.01  # s between looks whether all is answered
 LAST_BYTES = 1.0  # s for the last answers to be taken
 LOG_LINES = 20  # of one kind
@@ -50,7 +51,7 @@
 async def drain(server: Server, driver: Driver) -> None:
     """Callers go on using a connection that stays open, and are served on it for as long as all can still
     be answered before the SIGKILL: their other proxies may be few, or restarting too. Then each answer closes
-    its own, the rest close, and the process ends when nothing is owed any more."""
+    its own, those that ask nothing close, and the process ends when nothing is owed any more."""
     longest = max(cls.deadline for cls in driver.settings.classes)
     answered_by = min(longest, LONGEST_WAIT) + KILL_SPARE - SPARE
     driver.end_by = time.monotonic() + answered_by
@@ -60,12 +61,12 @@
     await asyncio.sleep(driver.end_by - WIND_DOWN - time.monotonic())
     log.info("winding down: %d connections, %d calls open", len(server.connections), len(driver.calls))
     server.draining = True
-    server.close_idle()
-    while driver.calls:
-        server.close_idle(partial=True)
+    rest_by = time.monotonic() + REST
+    while driver.calls or (server.begun and time.monotonic() < rest_by):
+        server.close_idle()
         await asyncio.sleep(DRAIN_STEP)
+    server.turn_away_begun()
     # All is answered; the last bytes may still be on their way to a slow peer.
-    server.close_idle(partial=True)
     for _ in range(int(LAST_BYTES / DRAIN_STEP)):
         if not server.connections:
             return
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -374,8 +374,11 @@
 
     def too_late(self) -> None:
         """No whole request has come in time. Half of one gets an answer that says so."""
+        self.turn_away(BadRequest(408, "the request did not end"))
+
+    def turn_away(self, told: BadRequest) -> None:
         if self.raw:
-            self._break(BadRequest(408, "the request did not end"))
+            self._break(told)
             self._next()
         else:
             self.close()
@@ -479,12 +482,22 @@
         if self.listener is not None:
             self.listener.close()
 
-    def close_idle(self, partial: bool = False) -> None:
-        """All that ask nothing, and on demand those whose request has only begun to come."""
+    def close_idle(self) -> None:
+        """All that ask nothing."""
         for connection in [*self.kept, *self.fresh]:
-            if (partial or not connection.raw) and not connection.has_unread():
+            if not connection.raw and not connection.has_unread():
                 connection.close()
 
+    @property
+    def begun(self) -> bool:
+        """Whether a request has begun to come of which the rest is missing."""
+        return any(connection.raw or connection.has_unread() for connection in (*self.kept, *self.fresh))
+
+    def turn_away_begun(self) -> None:
+        """Those whose request does not come whole before the end: it never went on, so a refusal is harmless."""
+        for connection in [*self.kept, *self.fresh]:
+            connection.turn_away(BadRequest(503, "this proxy is ending"))
+
     def abort_leaving(self) -> None:
         """Ends what a close does not: peers that never take their last answer."""
         for connection in list(self.leaving):
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -26,6 +26,8 @@
     serve_ok,
 )
 
+from granitepoint import __main__ as program
+from granitepoint.__main__ import drain
 from granitepoint.benchlink import read_settings
 from granitepoint.interface import Effect
 from granitepoint.net.config import Config, flatten
@@ -254,7 +256,7 @@
 
 
 def end_idle(server: Server) -> None:
-    server.close_idle(partial=True)
+    server.close_idle()
 
 
 def end_kept_for_long(server: Server) -> None:
@@ -368,3 +370,57 @@
                 socket.create_connection(("127.0.0.1", port))
 
     run(test())
+
+
+async def wind_down(here: Node) -> asyncio.Task[None]:
+    """The node's own way to end, in its last part by now."""
+    ending = asyncio.ensure_future(drain(here.server, here.driver))
+    await here.until(lambda: here.server.draining)
+    return ending
+
+
+@pytest.fixture
+def soon(monkeypatch: pytest.MonkeyPatch) -> None:
+    """SIGTERM is followed by the wind-down at once."""
+    monkeypatch.setattr(program, "LAST_ACCEPT", 0.0)
+    monkeypatch.setattr(program, "WIND_DOWN", PATIENCE)
+
+
+@pytest.mark.usefixtures("soon")
+def test_a_request_of_which_the_rest_comes_in_the_wind_down_is_answered(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(program, "REST", PATIENCE)
+
+    async def test() -> None:
+        async with node() as here:
+            caller = await here.caller()
+            caller.writer.write((STOCK % 1)[:40])
+            await here.until(lambda: here.server.begun)
+            ending = await wind_down(here)
+            caller.writer.write((STOCK % 1)[40:])
+            answer = await caller.answer()
+            assert (answer.code, answer.headers["connection"]) == (200, "close")
+            await ending
+
+    run(test())
+
+
+@pytest.mark.usefixtures("soon")
+def test_a_request_that_does_not_come_whole_before_the_end_is_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(program, "REST", 0.0)
+
+    async def test() -> None:
+        async with node() as here:
+            caller = await here.caller()
+            caller.writer.write((STOCK % 1)[:40])
+            await here.until(lambda: here.server.begun)
+            ending = await wind_down(here)
+            answer = await caller.answer()
+            assert (answer.code, answer.headers["connection"]) == (503, "close")
+            caller.writer.close()
+            await ending
+
+    run(test())
