--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -494,7 +494,7 @@
         return any(connection.raw or connection.has_unread() for connection in (*self.kept, *self.fresh))
 
     def turn_away_begun(self) -> None:
-        """Those whose request does not come whole before the end: it never went on, so a refusal is harmless."""
+        """Those whose request does not come whole before the end. It never went on: a refusal is harmless."""
         for connection in [*self.kept, *self.fresh]:
             connection.turn_away(BadRequest(503, "this proxy is ending"))
 
