--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -338,7 +338,9 @@
         transport = self.transport
         if transport is None:
             return
-        last = not self.keep_alive or self.server.draining
+        # What has come behind it is owed an answer too.
+        wound_up = self.server.draining and not self.waiting and not self.has_unread()
+        last = not self.keep_alive or wound_up
         parts = [b"HTTP/1.1 %d %s\r\n" % (code, REASONS.get(code, b"Status"))]
         parts += [name + b": " + value + b"\r\n" for name, value in headers]
         parts.append(b"content-length: %d\r\n" % len(body))
@@ -372,8 +374,11 @@
 
     def too_late(self) -> None:
         """No whole request has come in time. Half of one gets an answer that says so."""
+        self.turn_away(BadRequest(408, "the request did not end"))
+
+    def turn_away(self, told: BadRequest) -> None:
         if self.raw:
-            self._break(BadRequest(408, "the request did not end"))
+            self._break(told)
             self._next()
         else:
             self.close()
@@ -462,16 +467,37 @@
         self._sweep_later()
         return int(self.listener.sockets[0].getsockname()[1])
 
+    async def take_last(self, by: float) -> None:
+        """Stops listening once all that has connected is accepted, or at that time: what the kernel holds for
+        a listener when it closes is reset, with the requests that have come on it."""
+        while self.listener is not None and time.monotonic() < by:
+            poll = select.poll()
+            poll.register(self.listener.sockets[0].fileno(), select.POLLIN)
+            if not poll.poll(0):
+                break
+            await asyncio.sleep(ONE_TURN)
+        self.stop_listening()
+
     def stop_listening(self) -> None:
         if self.listener is not None:
             self.listener.close()
 
-    def close_idle(self, partial: bool = False) -> None:
-        """All that ask nothing, and on demand those whose request has only begun to come."""
+    def close_idle(self) -> None:
+        """All that ask nothing."""
         for connection in [*self.kept, *self.fresh]:
-            if (partial or not connection.raw) and not connection.has_unread():
+            if not connection.raw and not connection.has_unread():
                 connection.close()
 
+    @property
+    def begun(self) -> bool:
+        """Whether a request has begun to come of which the rest is missing."""
+        return any(connection.raw or connection.has_unread() for connection in (*self.kept, *self.fresh))
+
+    def turn_away_begun(self) -> None:
+        """Those whose request does not come whole before the end. It never went on: a refusal is harmless."""
+        for connection in [*self.kept, *self.fresh]:
+            connection.turn_away(BadRequest(503, "this proxy is ending"))
+
     def abort_leaving(self) -> None:
         """Ends what a close does not: peers that never take their last answer."""
         for connection in list(self.leaving):
