Keep the call that is out when the module asks for a watch anew

Seen in tests on real sockets: the module doubts a list when a listed backend refuses, so just when it changes; its Watch(True) cancelled the open call, and an answer that discovery was writing, which counts as told, was dropped. After SIGHUP, a Watch(True) that was due cancelled the call for the first list, which then waited its turn anew, within 4 s. Ruled out: what a left address still says (move ends its calls; tested), calls without end (each ends after its wait).

At fault: discovery.py, watch(): the calls lived in the task that it cancels. They are now kept beside it, and an older one ends by itself or with move, stop and watch(False).

Tests: three; the first two fail on the code before.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -169,13 +169,18 @@
         self.on_list, self.on_failed = on_list, on_failed
         self.lists = 0  # taken so far
         self._watch: asyncio.Task[None] | None = None
+        self._asks: dict[asyncio.Task[bool], _Channel] = {}  # of the watch, the one before still among them
         self._fetches: set[asyncio.Task[None]] = set()
 
     def watch(self, on: bool) -> None:
+        """A call that is out stays beside the new one: discovery may be writing its answer, which counts as
+        told, or may soon come to it, and the new one waits its turn anew."""
         if self._watch is not None:
             self._watch.cancel()
             self._watch = None
-        if on:
+        if not on:
+            self._end_asks()
+        else:
             self._watch = asyncio.get_running_loop().create_task(self._watching())
 
     def move(self, at: Address) -> None:
@@ -191,16 +196,22 @@
         task.add_done_callback(self._fetches.discard)
 
     def stop(self) -> None:
+        self._end_asks()
         for task in (self._watch, *self._fetches):
             if task is not None:
                 task.cancel()
 
+    def _end_asks(self) -> None:
+        for ask in self._asks:
+            ask.cancel()
+        self._asks.clear()
+
     async def _watching(self) -> None:
         """Call after call. Silence looks like a list that does not change, so no watch is waited for longer
         than RENEW: the next call goes out beside it, early enough to be tried again before what a silent one
         missed counts as told. The one before stays until it ends, for it may be the one that is told."""
         loop = asyncio.get_running_loop()
-        asks: dict[asyncio.Task[bool], _Channel] = {}
+        asks = self._asks
         channel, tries = _Channel(), 0
         try:
             while True:
@@ -229,9 +240,8 @@
                     self.on_failed()
                     return
         finally:
-            channel.close()
-            for ask in asks:
-                ask.cancel()
+            if channel not in asks.values():
+                channel.close()
 
     async def _fetching(self) -> None:
         channel = _Channel()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -250,3 +250,51 @@
         await two.stop()
 
     run(test())
+
+
+def test_a_watch_asked_for_again_leaves_the_call_that_is_out() -> None:
+    """The module doubts a list just when it changes: what is written to the open watch counts as told."""
+
+    async def test() -> None:
+        peer = OnCommand()
+        async with peer.client() as client:
+            client.watch(True)
+            first = await peer.next("/v1/servers?from=1&")
+            client.watch(True)
+            await peer.next("/v1/servers?from=1&")
+            first.answer(2, endpoint("s-1", HERE, "Terminating"))
+            assert states(await peer.lists.get()) == ["draining"]
+
+    run(test())
+
+
+def test_the_first_list_of_a_new_address_keeps_its_turn_when_the_module_asks_too() -> None:
+    """After SIGHUP there are 4 s; a call that is given up and made anew waits its turn from the start."""
+
+    async def test() -> None:
+        peer = OnCommand()
+        async with peer.client() as client:
+            client.move(client.at)
+            first = await peer.next("/v1/servers")
+            client.watch(True)
+            await peer.next("/v1/servers")
+            first.answer(9, endpoint("s-1", HERE, "Terminating"), snapshot=True)
+            assert states(await peer.lists.get()) == ["draining"]
+
+    run(test())
+
+
+def test_nothing_is_heard_of_a_server_that_was_left() -> None:
+    async def test() -> None:
+        old, new = OnCommand(), OnCommand()
+        async with new.client() as there, old.client() as client:
+            client.watch(True)
+            left = await old.next("/v1/servers?from=1&")
+            client.move(there.at)
+            asked = await new.next("/v1/servers")
+            left.answer(50, endpoint("s-1", HERE))
+            asked.answer(3, endpoint("s-2", HERE), snapshot=True)
+            await new.next("/v1/servers?from=3&")
+            assert (await old.lists.get()).version == 3 and old.lists.empty()
+
+    run(test())
