Refuse a configuration whose whole numbers are endless in one line, with exit 2

Seen in a test of the program: `"sockets": Infinity` (which the JSON reader takes) ended it with a traceback and exit 1. Ruled out: the seed, which is read through its text and was refused as it should be.

At fault: config.py, load(): int() of an infinite number raises OverflowError, which was not among the faults of a configuration.

Test: two more cases of the test of bad configurations; the one on sockets fails on the code before.

--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -107,7 +107,7 @@
             known=known,
             settings=read_settings(flatten(raw["settings"])),
         )
-    except (OSError, ValueError, TypeError, AttributeError, RecursionError) as fault:
+    except (OSError, ValueError, TypeError, AttributeError, OverflowError, RecursionError) as fault:
         raise _error(fault) from None
 
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 import signal
 import tempfile
 from typing import Any
@@ -505,7 +506,9 @@
 
 
 @pytest.mark.parametrize(
-    "spoil", ["no file", "not json", "no settings", "bad setting", "bad address", "bad known"]
+    "spoil",
+    ["no file", "not json", "no settings", "bad setting", "bad address", "endless sockets", "endless seed",
+     "bad known"],
 )
 def test_a_bad_configuration_is_one_line_and_exit_2(spoil: str) -> None:
     async def test() -> None:
@@ -518,6 +521,10 @@
             raw["settings"]["contract"]["cold_from"] = 7
         elif spoil == "bad address":
             raw["listen"] = "nowhere"
+        elif spoil == "endless sockets":
+            raw["limits"]["sockets"] = math.inf
+        elif spoil == "endless seed":
+            raw["seed"] = math.inf
         elif spoil == "bad known":
             raw["known"] = {"index": 1, "snapshot": True, "endpoints": [{"name": "s-1"}]}
         elif spoil == "no file":
