Advise a wait only where the settings allow it, also where there is no room

Ruled out: the module's own refusals, which go by the settings (advice() in logic.py).

At fault: server.py, _next() for an extra connection, and driver.py, opened() at most_held: both wrote a fixed header. Both now get it from the driver, which knows the settings; the longest advice bounds all.

Test: fails on the code before.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -14,7 +14,7 @@
 import uvloop
 
 from granitepoint.net.config import Config, ConfigError, load, reread_discovery
-from granitepoint.net.driver import Driver
+from granitepoint.net.driver import NO_ROOM_ADVICE, Driver
 from granitepoint.net.server import Server
 
 log = logging.getLogger("granitepoint")
@@ -92,7 +92,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, term.set)
     driver = Driver(config)
-    server = Server(driver.effects, driver, config.sockets, config.memory_mb)
+    advice = driver.advice(NO_ROOM_ADVICE)
+    server = Server(driver.effects, driver, config.sockets, config.memory_mb, advice)
     loop.add_signal_handler(signal.SIGHUP, reload, driver)  # before it is ready, and for good
     driver.start()
     await server.listen(*config.listen)
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -18,7 +18,7 @@
 from granitepoint.logic import Balancer
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import Discovery, Listing, read_listing
-from granitepoint.net.server import Reply, Request
+from granitepoint.net.server import Headers, Reply, Request
 from granitepoint.net.upstream import (
     HOP_BY_HOP,
     LATE,
@@ -35,6 +35,7 @@
 MOST_MARGIN = 0.15  # s
 MODULE_MARGIN = 0.02  # s by which the module's deadline lies before the proxy's own
 LAG_FADE = 0.995  # of the measured loop lag that is kept at each timer
+NO_ROOM_ADVICE = 1.0  # s after which a caller that found no room may come back
 MOST_PROBES = 32  # at once
 MOST_FIGURE = 1e6  # of a report; more is no load, and would outweigh all other reports
 PROBE_TIMEOUT = 0.2  # s; a report that comes later is of no use
@@ -232,7 +233,7 @@
             reply.answer(409, (), b"this X-Call-Id is in use\n")
             return None
         if self.settings.most_held and len(self.calls) >= self.settings.most_held:
-            reply.answer(503, ((b"retry-after", b"1"),), b"too many calls\n")
+            reply.answer(503, self.advice(NO_ROOM_ADVICE), b"too many calls\n")
             return None
         self.calls_taken += 1
         self.counts["calls"] += 1
@@ -259,6 +260,11 @@
         )
         return call
 
+    def advice(self, wait: float) -> Headers:
+        """When to come back, where the settings allow to say so, and no later than a client would heed."""
+        wait = min(wait, self.settings.max_wait_advice) if self.settings.may_advise_wait else 0.0
+        return ((b"retry-after", b"%.3f" % wait),) if wait > 0 else ()
+
     def left(self, call: OpenCall) -> None:
         if call.open:
             self._settle(call)
@@ -349,8 +355,7 @@
     def _refuse(self, action: api.Refuse) -> None:
         call = self.calls.get(action.call)
         if call is not None:
-            advice = ((b"retry-after", b"%.3f" % action.retry_after),) if action.retry_after > 0 else ()
-            self._close(call, 503, advice, b"refused\n")
+            self._close(call, 503, self.advice(action.retry_after), b"refused\n")
 
     def _fail(self, action: api.Fail) -> None:
         call = self.calls.get(action.call)
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -44,7 +44,8 @@
     413: b"Content Too Large", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
     502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
 }  # fmt: skip
-NO_HEADERS: tuple[tuple[bytes, bytes], ...] = ()
+Headers = tuple[tuple[bytes, bytes], ...]
+NO_HEADERS: Headers = ()
 
 
 @dataclass(slots=True)
@@ -317,7 +318,7 @@
             elif self.extra:
                 # Never sent, so a refusal is harmless.
                 self.keep_alive = False
-                self.answer(503, ((b"retry-after", b"1"),), b"too many connections\n")
+                self.answer(503, self.server.advice, b"too many connections\n")
             else:
                 try:
                     call = self.server.handler.opened(request, self)
@@ -409,9 +410,15 @@
     """
 
     def __init__(
-        self, effects: Mapping[str, Effect], handler: Handler, sockets: int, memory_mb: float
+        self,
+        effects: Mapping[str, Effect],
+        handler: Handler,
+        sockets: int,
+        memory_mb: float,
+        advice: Headers = NO_HEADERS,
     ) -> None:
         self.loop = asyncio.get_running_loop()
+        self.advice = advice  # for a caller that finds no room
         self.effects, self.handler = effects, handler
         others = int(sockets * UPSTREAM_SHARE) + min(RESERVE, sockets // 10)
         by_memory = int(max(1.0, memory_mb - BASE_MEMORY) / CALLER_MEMORY)
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -463,6 +463,38 @@
     run(test())
 
 
+def test_a_proxy_without_room_advises_no_wait_where_the_settings_do_not_allow_it() -> None:
+    """Neither the bound on connections nor the one on open calls says when to come back by itself."""
+
+    async def test() -> None:
+        free = asyncio.Event()
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await free.wait()
+            await serve_ok(seen, writer)
+
+        limits = {**SETTINGS["policy_limits"], "retry_after": False, "most_held": 40}
+        async with proxy({"s-1": Backend(behave)}, sockets=64, policy_limits=limits) as node:
+            callers = [await node.caller() for _ in range(32)]
+            for number, caller in enumerate(callers):
+                caller.send("canje", f"{number:016x}", budget="9000m")
+            reply = await (await node.caller()).call("stock", "a" * 16)
+            assert reply.code == 503 and reply.body == b"too many connections\n"
+            assert "retry-after" not in reply.headers
+            free.set()
+        limits["most_held"] = 1
+        free.clear()
+        async with proxy({"s-1": Backend(behave)}, policy_limits=limits) as node:
+            first, second = await node.caller(), await node.caller()
+            first.send("canje", "b" * 16, budget="9000m")
+            reply = await second.call("canje", "c" * 16)
+            assert reply.code == 503 and reply.body == b"too many calls\n"
+            assert "retry-after" not in reply.headers
+            free.set()
+
+    run(test())
+
+
 def test_an_idle_connection_makes_room_for_a_new_caller() -> None:
     """Kept connections that ask nothing must not shut others out."""
 
