Tell a backend the time that is left at the first byte, not that before a slow connect

Suspected from reading and confirmed by a test on real sockets: X-Budget was worked out in driver.py, _send(), before the connection was there, so after a connect that took long, or a kept connection that broke before the last byte and was followed by another, an attempt told up to the connect timeout, or more, than the client had left. Ruled out: the attempt's own time-out, which counts from the decision.

At fault: driver.py, _send(), which built the whole request at once. An exchange now asks for its bytes, given what is left, when the first of them goes out.

Test: fails with the time taken as it was at the start.

--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -317,8 +317,10 @@
             self._push(api.Outcome(call.number, number, action.server, api.Status.MOOT, 0.0, False))
             return
         timeout = min(action.timeout, call.deadline - time.monotonic())
-        request = call.request
-        head = request.head + b"x-budget: %du\r\n\r\n" % max(1, int(timeout * 1e6))
+
+        def request(left: float) -> bytes:
+            sent = call.request
+            return sent.head + b"x-budget: %du\r\n\r\n" % max(1, int(left * 1e6)) + sent.body
 
         def may_start() -> bool:
             return call.open and upstream.serving
@@ -326,7 +328,7 @@
         def done(exchange: Exchange) -> None:
             self._attempt_ended(call, number, action.server, exchange)
 
-        exchange = Exchange(upstream, head + request.body, max(0.0, timeout), may_start, done, action.trust)
+        exchange = Exchange(upstream, request, max(0.0, timeout), may_start, done, action.trust)
         call.exchange = self.out[call.number] = exchange
         self.upstreams.start(exchange)
 
@@ -387,7 +389,9 @@
                 status = api.Status.FULL  # not asked, so nothing is known against it
             self._push(api.Probed(action.server, status, exchange.elapsed, report))
 
-        self.upstreams.start(Exchange(upstream, request, PROBE_TIMEOUT, lambda: upstream.serving, done))
+        self.upstreams.start(
+            Exchange(upstream, lambda left: request, PROBE_TIMEOUT, lambda: upstream.serving, done)
+        )
 
     def _set_timer(self, action: api.SetTimer) -> None:
         due = time.monotonic() + action.delay
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -46,20 +46,22 @@
     """
 
     __slots__ = (
-        "body", "code", "connection", "done", "due", "elapsed", "headers", "loop", "may_start", "request",
-        "rested", "sent", "started_at", "status", "timer", "trust", "upstream",
+        "body", "code", "connection", "done", "due", "elapsed", "ends_at", "headers", "loop", "may_start",
+        "request", "rested", "sent", "started_at", "status", "tail", "timer", "trust", "upstream",
     )
 
     def __init__(
         self,
         upstream: Upstream,
-        request: bytes,
+        request: Callable[[float], bytes],
         timeout: float,
         may_start: Callable[[], bool],
         done: Callable[[Exchange], None],
         trust: float = math.inf,
     ) -> None:
-        self.upstream, self.request = upstream, request
+        self.upstream = upstream
+        self.request = request  # given the time left in s, at the first byte
+        self.tail = b""  # the last byte, held back
         self.trust = trust  # s that a connection may have rested
         self.rested: float | None = None  # s that the one used had; 0: it was new
         self.may_start, self.done = may_start, done
@@ -72,7 +74,7 @@
         self.code = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = b""
-        self.due = self.started_at + timeout
+        self.due = self.ends_at = self.started_at + timeout
         self.timer = self.loop.call_later(timeout, self._out_of_time)
 
     def end(self, status: Status) -> None:
@@ -290,7 +292,9 @@
         self.headers, self.body = [], []
         self.raw = self.size = 0
         self.head_done = self.until_close = False
-        self.transport.write(exchange.request[:-1])
+        data = exchange.request(max(0.0, exchange.ends_at - time.monotonic()))
+        exchange.tail = data[-1:]
+        self.transport.write(data[:-1])
         self.upstream.owner.loop.call_later(PROVE, self._finish, exchange)
 
     def _finish(self, exchange: Exchange) -> None:
@@ -298,7 +302,7 @@
         So it goes only to a connection that took the others without breaking."""
         if self.exchange is exchange and self.transport is not None and not self.pending(ENDED):
             exchange.sent = True
-            self.transport.write(exchange.request[-1:])
+            self.transport.write(exchange.tail)
 
     def _break_off(self, exchange: Exchange) -> None:
         self.upstream.owner.counts["broken before the last byte"] += 1
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -154,7 +154,7 @@
 
         def start() -> None:
             request = b"POST /canje HTTP/1.1\r\n\r\n"
-            owner.start(up.Exchange(owner.by_id[1], request, 5.0, lambda: True, ended.put_nowait))
+            owner.start(up.Exchange(owner.by_id[1], lambda _: request, 5.0, lambda: True, ended.put_nowait))
 
         async with asyncio.timeout(PATIENCE):
             if not answers_before:
@@ -198,7 +198,9 @@
 
         async def rested(trust: float) -> float | None:
             request = b"GET /stock HTTP/1.1\r\nX-Call-Id: 1\r\n\r\n"
-            owner.start(up.Exchange(owner.by_id[1], request, 5.0, lambda: True, ended.put_nowait, trust))
+            owner.start(
+                up.Exchange(owner.by_id[1], lambda _: request, 5.0, lambda: True, ended.put_nowait, trust)
+            )
             return (await ended.get()).rested
 
         async with asyncio.timeout(PATIENCE):
@@ -237,7 +239,7 @@
                 ended.put_nowait(exchange)
 
             request = b"GET /stock HTTP/1.1\r\n\r\n"
-            owner.start(up.Exchange(owner.by_id[1], request, 5.0, lambda: True, done))
+            owner.start(up.Exchange(owner.by_id[1], lambda _: request, 5.0, lambda: True, done))
 
         async with asyncio.timeout(PATIENCE):
             start()
@@ -271,7 +273,8 @@
             assert isinstance(connection.parser, httptools.HttpResponseParser)
             ended.set_result(connection)
 
-        owner.start(up.Exchange(owner.by_id[1], b"GET / HTTP/1.1\r\n\r\n", 0.05, lambda: True, done))
+        request = b"GET / HTTP/1.1\r\n\r\n"
+        owner.start(up.Exchange(owner.by_id[1], lambda _: request, 0.05, lambda: True, done))
         async with asyncio.timeout(PATIENCE):
             connection = await ended
             while connection.transport is not None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -214,6 +214,31 @@
     run(test())
 
 
+def test_the_time_that_an_attempt_tells_is_what_is_left_after_a_slow_connect(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        async with node(policy_limits={**SETTINGS["policy_limits"], "connect_timeout": PATIENCE}) as here:
+            connect, up = here.driver.loop.create_connection, asyncio.Event()
+
+            async def slow(*args: Any) -> Any:
+                await up.wait()
+                return await connect(*args)
+
+            caller = await here.caller()
+            monkeypatch.setattr(here.driver.upstreams.loop, "create_connection", slow)
+            caller.send("canje", FIRST, budget="6000m")
+            await here.until(lambda: bool(here.driver.out))
+            (exchange,) = here.driver.out.values()
+            exchange.ends_at -= 4.0  # as if the connect had taken so long
+            up.set()
+            told = (await next_call(here.backend)).headers["x-budget"]
+            assert 0 < int(told[:-1]) <= 2_000_000
+            assert (await caller.answer()).code == 200
+
+    run(test())
+
+
 @pytest.mark.parametrize("behind", [b"", STOCK % 2], ids=["alone", "with bytes behind it"])
 def test_a_request_whose_caller_left_between_attempts_is_not_sent_again(behind: bytes) -> None:
     async def test() -> None:
