Hold the last byte of a repeat to its window: a slow connect carried it beyond

The window was looked at when the module decided (Obligations.may_send); the last byte went out up to a connect timeout and the proof millisecond later, and may_start() in driver.py asks for neither. Ruled out by reading: the group (zone and cell are those that the list last told, also of a server that has left it) and attempts that count as never run (each ends before its last byte is written).

At fault: nothing between the decision and Connection._finish() knew of the window. A Send now tells within what time its last byte has to go, and the exchange ends as never sent after it, also right before that byte. A byte that would wait behind others in this process's buffer waits outside of it, so that `sent` says what was written.

Tests: the window over before the first byte, and before the last; both fail without the look in upstream.py.

--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -288,6 +288,7 @@
     server: int
     timeout: float
     trust: float = math.inf  # s; a connection that has rested longer is closed, not used
+    within: float = math.inf  # s in which its last byte has to go out: later it might run a second time
 
 
 @dataclass(slots=True)
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -177,19 +177,24 @@
         return None
 
     def may_send(self, call: Call, server: Server, now: float) -> bool:
-        settings = self.settings
-        if call.ended or call.streaming or now >= call.deadline or server.state is not ServerState.SERVING:
+        if call.streaming or now >= call.deadline or server.state is not ServerState.SERVING:
             return False
         if not call.attempts:
-            return True
-        if len(call.attempts) >= settings.max_attempts or (call.out and not settings.may_duplicate):
+            return not call.ended
+        if not self.may_repeat(call) or (call.out and not self.settings.may_duplicate):
             return False
         first = self.may_have_run(call)
         if first is None or call.cls.effect is Effect.REPEATABLE:
             return True
-        if call.cls.effect is Effect.ONCE:
-            return False
-        return self.same_group(call.cls, first.server, server) and now - first.sent_at < call.cls.window
+        return self.same_group(call.cls, first.server, server) and self.within(call, now) > 0
+
+    def within(self, call: Call, now: float) -> float:
+        """Time left in which a further attempt is dropped by the group of one that may have run. It counts
+        from when that was decided, a little before it was sent."""
+        first = self.may_have_run(call)
+        if first is None or call.cls.effect is not Effect.BY_KEY:
+            return math.inf
+        return first.sent_at + call.cls.window - now
 
     @staticmethod
     def same_group(cls: Kind, one: Server, other: Server) -> bool:
@@ -216,11 +221,12 @@
     ) -> Attempt | None:
         if not self.may_send(call, server, now):
             return None
+        within = self.within(call, now)
         attempt = Attempt(call, len(call.attempts), server, now, load)
         call.attempts.append(attempt)
         call.out += 1
         allowed = max(STEP / 10, min(timeout, call.deadline - now))
-        self.actions.append(Send(call.id, server.id, allowed, trust))
+        self.actions.append(Send(call.id, server.id, allowed, trust, within))
         return attempt
 
     def answer(self, call: Call, retry_after: float = 0.0) -> None:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -328,7 +328,9 @@
         def done(exchange: Exchange) -> None:
             self._attempt_ended(call, number, action.server, exchange)
 
-        exchange = Exchange(upstream, request, max(0.0, timeout), may_start, done, action.trust)
+        exchange = Exchange(
+            upstream, request, max(0.0, timeout), may_start, done, action.trust, action.within
+        )
         call.exchange = self.out[call.number] = exchange
         self.upstreams.start(exchange)
 
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -47,7 +47,7 @@
 
     __slots__ = (
         "body", "code", "connection", "done", "due", "elapsed", "ends_at", "headers", "loop", "may_start",
-        "request", "rested", "sent", "started_at", "status", "tail", "timer", "trust", "upstream",
+        "request", "rested", "send_by", "sent", "started_at", "status", "tail", "timer", "trust", "upstream",
     )
 
     def __init__(
@@ -58,6 +58,7 @@
         may_start: Callable[[], bool],
         done: Callable[[Exchange], None],
         trust: float = math.inf,
+        within: float = math.inf,
     ) -> None:
         self.upstream = upstream
         self.request = request  # given the time left in s, at the first byte
@@ -75,6 +76,7 @@
         self.headers: list[tuple[bytes, bytes]] = []
         self.body = b""
         self.due = self.ends_at = self.started_at + timeout
+        self.send_by = self.started_at + within  # no last byte after it
         self.timer = self.loop.call_later(timeout, self._out_of_time)
 
     def end(self, status: Status) -> None:
@@ -114,7 +116,7 @@
 
     def run_on(self, connection: Connection) -> None:
         """Writes the request, unless it has ended or must not start any more."""
-        if self.status is not None or not self.may_start():
+        if self.status is not None or time.monotonic() >= self.send_by or not self.may_start():
             connection.upstream.keep(connection)
             self.end(Status.MOOT)
             return
@@ -300,7 +302,13 @@
     def _finish(self, exchange: Exchange) -> None:
         """The last byte: with it a request may run, and one that may have run can often not be sent again.
         So it goes only to a connection that took the others without breaking."""
-        if self.exchange is exchange and self.transport is not None and not self.pending(ENDED):
+        if self.exchange is not exchange or self.transport is None or self.pending(ENDED):
+            return
+        if time.monotonic() >= exchange.send_by:
+            exchange.end(Status.MOOT)
+        elif self.transport.get_write_buffer_size():  # the peer takes its time with what comes before
+            self.upstream.owner.loop.call_later(PROVE, self._finish, exchange)
+        else:
             exchange.sent = True
             self.transport.write(exchange.tail)
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -29,7 +29,8 @@
 from granitepoint import __main__ as program
 from granitepoint.__main__ import drain
 from granitepoint.benchlink import read_settings
-from granitepoint.interface import Effect
+from granitepoint.interface import Effect, Status
+from granitepoint.net import upstream as up
 from granitepoint.net.config import Config, flatten
 from granitepoint.net.discovery import read_listing
 from granitepoint.net.driver import Driver
@@ -239,6 +240,50 @@
     run(test())
 
 
+@pytest.mark.parametrize("moment", ["before its first byte", "before its last byte"])
+def test_a_further_attempt_does_not_go_out_once_the_window_for_repeats_is_over(
+    moment: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It was decided within the window; its connect, or the wait before its last byte, takes too long."""
+
+    async def test() -> None:
+        connect_held = asyncio.Event()
+        limits = {**SETTINGS["policy_limits"], "connect_timeout": PATIENCE, "send_cap": 2}
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            writer.write(response(500, Connection="close"))  # it may have run
+
+        async with node(behave, policy_limits=limits) as here:
+            connect = here.driver.loop.create_connection
+
+            async def held(*args: Any) -> Any:
+                await connect_held.wait()
+                return await connect(*args)
+
+            caller = await here.caller()
+            caller.send("reserva", FIRST, budget="4000m")
+            await next_call(here.backend)
+            monkeypatch.setattr(here.driver.loop, "create_connection", held)
+            await here.until(lambda: any(call.ran for call in here.driver.calls.values()))
+            await here.until(lambda: bool(here.driver.out))
+            (exchange,) = here.driver.out.values()
+            assert exchange.send_by < exchange.started_at + 6.0  # the window of the class
+            if moment == "before its last byte":
+                monkeypatch.setattr(up, "PROVE", PATIENCE)
+                connect_held.set()
+                await here.until(lambda: exchange.connection is not None)
+                exchange.send_by = 0.0
+                assert exchange.connection is not None
+                exchange.connection._finish(exchange)
+            else:
+                exchange.send_by = 0.0
+                connect_held.set()
+            assert (await caller.answer()).code in (502, 504)
+            assert exchange.status is Status.MOOT and not exchange.sent and here.backend.count == 1
+
+    run(test())
+
+
 @pytest.mark.parametrize("behind", [b"", STOCK % 2], ids=["alone", "with bytes behind it"])
 def test_a_request_whose_caller_left_between_attempts_is_not_sent_again(behind: bytes) -> None:
     async def test() -> None:
