Count no time-out as a sign of a crowd that came sooner than an answer may take

At fault: logic.py, learn(): any time-out that had not been counted as late by its age was a bad sign.

Test: fails on the code before; a time-out past the target still counts.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -937,6 +937,8 @@
             pass  # this server's own fault too
         elif broken and attempt.late and not attempt.lost:
             admission.window += admission.step()  # a broken connection, not a crowd, kept it so long
+        elif status == Status.TIMEOUT and elapsed < cls.target:
+            pass  # it had less time than an answer may take
         elif not attempt.late and attempt.counted and (ok or status in (Status.TIMEOUT, Status.FULL)):
             admission.bad()
         # capacity: calls held against latency in units of the class's mean
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -481,6 +481,18 @@
     assert driver.balancer.admission.window == pytest.approx(window, rel=0.02)
 
 
+def test_a_time_out_sooner_than_the_target_is_no_sign_of_a_crowd() -> None:
+    """Its client left it less time than an answer may take."""
+    driver = Driver(settings(), servers=entries(1, 2))
+    for call in range(60):
+        driver.settle(only_send(driver.arrive(call, "once")), Status.OK)
+    window, target = driver.balancer.admission.window, driver.balancer.kinds["once"].target
+    driver.settle(only_send(driver.arrive(60, "once")), Status.TIMEOUT, elapsed=target / 2, final=True)
+    assert driver.balancer.admission.window == window
+    driver.settle(only_send(driver.arrive(61, "once")), Status.TIMEOUT, elapsed=target + 0.1, final=True)
+    assert driver.balancer.admission.window < window
+
+
 def test_errors_leave_the_window_as_it_is() -> None:
     # Found on ticket1545: resets below came up as errors, one call in eight, and closed W from 8 to 3 while
     # all answers were quick; another instance before the same servers held 8 and refused nothing.
