Free the place in W of a call that its server's report no longer holds

Such a call is let go once its server has served a later one, but where W is small no later one is sent there. Ruled out: a hung server, which goes on reporting what it holds (its calls keep their places; tested).

At fault: logic.py, watch_ages(), which knew a silent connection by later answers only. A report that comes half a second after the send and names fewer calls than this instance alone has out there says the same; the server is asked for one.

Test: fails on the code before.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -74,6 +74,7 @@
 ASK_SPEND = 0.006  # points of price per call that may go to probes sent for that call alone
 ASK = 3  # servers asked for one call; more gains little over three fresh figures
 ASK_WAIT = 0.01  # s that a call waits for their answers
+REPORT_LAG = 0.5  # s by which a report may lie behind: it is refreshed now and then
 USUAL_FADES = 10.0  # fades of a report after which a server's usual load is half forgotten
 ZONE_REPORTS = 10  # reports over which a zone's load is averaged: a few seconds of probes at a call a second
 CROSSING = 3.0  # aims that one full crossing price is worth when servers are compared
@@ -1063,7 +1064,7 @@
         for attempt in self.out.values():
             age = now - attempt.sent_at
             cls = attempt.call.cls
-            if age > RESCUE_AGE * cls.mean.value and attempt.server.served_from > attempt.sent_at:
+            if age > RESCUE_AGE * cls.mean.value and self.overtaken(attempt):
                 self.lose(attempt)
             if attempt.counted:
                 total += age
@@ -1083,6 +1084,18 @@
                     self.eject(server, hard=False)
             self.rescue(attempt)
 
+    def overtaken(self, attempt: Attempt) -> bool:
+        """Whether its server has served what was sent after it, or reports fewer calls in hand than this
+        instance alone has out there; it is asked where its last report says nothing of this attempt."""
+        server = attempt.server
+        if attempt.lost or server.served_from > attempt.sent_at:
+            return True
+        fresh = server.reported_at >= attempt.sent_at + REPORT_LAG
+        if not fresh and self.settings.may_probe and not server.probe_out:
+            if self.now >= server.probed_at + REPORT_LAG and server.state is ServerState.SERVING:
+                self.send_probe(server)
+        return fresh and server.last_report + 0.5 < server.out - server.since
+
     def lose(self, attempt: Attempt) -> None:
         """Its server has long overtaken it: the connection went silent, and nothing is at
         work on it. Guards against places of W held until the deadline, and procQ raised by waits that are no
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -493,6 +493,23 @@
     assert driver.balancer.admission.window < window
 
 
+def test_a_report_of_fewer_calls_than_are_out_frees_the_place_of_a_silent_connection() -> None:
+    """Where few calls go to a server none that was sent later may be served for long; it is asked then."""
+    driver = Driver(settings(may_probe=True), servers=entries(1))
+    for call in range(30):
+        driver.settle(only_send(driver.arrive(call, "once")), Status.OK)
+        driver.feed(Probed(1, Status.OK, 0.01, {"busy_reqs": 0.0}))
+    driver.arrive(30, "once")
+    asked = [action for action in driver.wait(0.8) if isinstance(action, Probe)]
+    assert asked and driver.balancer.busy == 1
+    driver.feed(Probed(1, Status.OK, 0.01, {"busy_reqs": 1.0}))  # it is at work on it
+    driver.wait(0.05)
+    assert driver.balancer.busy == 1
+    driver.feed(Probed(1, Status.OK, 0.01, {"busy_reqs": 0.0}))
+    driver.wait(0.05)
+    assert driver.balancer.busy == 0
+
+
 def test_errors_leave_the_window_as_it_is() -> None:
     # Found on ticket1545: resets below came up as errors, one call in eight, and closed W from 8 to 3 while
     # all answers were quick; another instance before the same servers held 8 and refused nothing.
