Ask discovery again within 1.5 s of a failed call, however often it failed

Suspected from reading: on_list(FAILED) backed off to must_ask_within (10 s here), so that after an outage a proxy could stay up to 10 s without asking, where a change counts as told 6 s after discovery had it and could be reached. Confirmed by a test with the fake clock. Ruled out: the calls of a watch that goes on, which discovery.py repeats by itself.

At fault: logic.py, on_list(): the doubling pause. It is now 0.9 to 1.5 s, spread by chance; a call's own wait for its turn comes on top. Also folds two nested conditions that the linter refuses.

Test: fails on the code before.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -95,6 +95,7 @@
 FAILING_MEMORY = 5.0  # s in which such a share fades, so that the server is tried again
 COLD_SHARE = 0.5  # share of the allowed multiple of a cold server's capacity that all instances may use
 PEAK_MEMORY = 60.0  # s, memory of an instance's highest send rate: long against a ramp
+ASK_AGAIN = 1.5  # s after a failed call within which discovery is asked again: what it has is told soon
 DOUBT_SPREAD = 2.0  # s over which instances ask again where servers contradict the list: all see it at once
 DOUBT_SPACING = 8.0  # s since it asked or was told within which an instance does not doubt the list
 IDLE_LEAST = 0.2  # s; a connection used within it is not taken to be lost for lack of use
@@ -719,7 +720,6 @@
         self.timer_set = False
         self.watching = not settings.ask_for_list
         self.watch_at = -1.0
-        self.watch_fails = 0
         self.told_at = 0.0  # the last list, or the start of a watch
         self.doubt_at = math.inf  # when to ask although a watch is on
 
@@ -769,12 +769,10 @@
     def on_list(self, event: ServerList) -> None:
         if event.kind is ListKind.FAILED:
             self.watching = False
-            self.watch_fails += 1
-            longest = min(1.0 * 2**self.watch_fails, self.settings.must_ask_within)
-            self.watch_at = self.now + longest * (0.5 + 0.5 * self.random.random())
+            longest = min(ASK_AGAIN, self.settings.must_ask_within)
+            self.watch_at = self.now + longest * (0.6 + 0.4 * self.random.random())
         else:
             if event.kind is not ListKind.SAVED:
-                self.watch_fails = 0
                 self.told_at, self.doubt_at = self.now, math.inf
             self.servers.take_list(event, self.now)
             self.admission.set_least(len(self.servers.known), self.settings.balancers)
@@ -1091,9 +1089,9 @@
         if attempt.lost or server.served_from > attempt.sent_at:
             return True
         fresh = server.reported_at >= attempt.sent_at + REPORT_LAG
-        if not fresh and self.settings.may_probe and not server.probe_out:
-            if self.now >= server.probed_at + REPORT_LAG and server.state is ServerState.SERVING:
-                self.send_probe(server)
+        due = not fresh and not server.probe_out and self.now >= server.probed_at + REPORT_LAG
+        if due and self.settings.may_probe and server.state is ServerState.SERVING:
+            self.send_probe(server)
         return fresh and server.last_report + 0.5 < server.out - server.since
 
     def lose(self, attempt: Attempt) -> None:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -305,6 +305,15 @@
     assert Watch(True) not in Driver(settings()).wait(12.0)
 
 
+def test_however_often_discovery_failed_it_is_asked_again_soon() -> None:
+    """What it has to tell counts as told 6 s after it could be reached, the wait for an answer included."""
+    driver = Driver(settings(ask_for_list=True, must_ask_within=60.0))
+    driver.wait(2.1)
+    for _ in range(12):
+        driver.feed(ServerList(ListKind.FAILED))
+        assert driver.wait(1.6).count(Watch(True)) == 1
+
+
 def test_class_without_late_worth_times_out_at_its_aim() -> None:
     driver = Driver(settings())
     assert only_send(driver.arrive(1)).timeout == pytest.approx(1.0)
