Answer a call at once that no server may take any more

Suspected from reading and confirmed by tests: a keyed call whose attempt may have run stayed in the queue until its useful time ended where its group had no server left, its window was over, or all that are left are ejected beyond its time. Ruled out: calls that may not be repeated at all, which on_outcome() answers.

At fault: logic.py, dispatch(), which passed over such a call at each step.

Tests: the three ways; all fail on the code before.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -618,6 +618,14 @@
                 best, best_cost, best_load = server, cost, load
         return (best, best_load) if best is not None else None
 
+    def hopeless(self, call: Call, gate: Obligations, now: float) -> bool:
+        """Whether no server can take a further attempt of this call any more: none is left of its group, its
+        window is over, or those that are left come back too late."""
+        return not any(
+            server.ejected_until < call.useful_until and gate.may_send(call, server, now)
+            for server in self.pool
+        )
+
     # connections
     def idle(self, server: Server, now: float) -> float:
         """How long the connection to a server has not been used; 0: in use, or there is none."""
@@ -1191,7 +1199,13 @@
             if choice is None:
                 if not call.attempts:
                     return
-                place += 1
+                if servers.hopeless(call, self.gate, now):
+                    del queue[place]
+                    call.queued = False
+                    if not call.out:
+                        self.refuse(call)
+                else:
+                    place += 1
                 continue
             server, load = choice
             until = call.deadline if call.cls.late_counts else max(call.useful_until, now + STEP)
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -6,7 +6,7 @@
 from random import Random
 
 import pytest
-from helpers import ONCE, SAFE, Driver, entries, only_send, sends, settings
+from helpers import ONCE, SAFE, ZONED, Driver, drained, entries, only_send, sends, settings
 
 from granitepoint import (
     Action,
@@ -25,6 +25,7 @@
     Send,
     ServerEntry,
     ServerList,
+    ServerState,
     Status,
     Tenant,
     Watch,
@@ -314,6 +315,22 @@
         assert driver.wait(1.6).count(Watch(True)) == 1
 
 
+@pytest.mark.parametrize("way", ["drained", "window over", "ejected for longer"])
+def test_a_call_that_nothing_may_take_any_more_is_answered_at_once(way: str) -> None:
+    """Its group has one server, which may have run it; the others must not get it."""
+    driver = Driver(settings(), servers=[*entries(1), *entries(2, zone="b")])
+    send = only_send(driver.arrive(1, "zoned"))
+    if way == "drained":
+        driver.feed(drained(send.server, ServerState.DRAINING))
+    elif way == "window over":
+        driver.wait(ZONED.window + 0.1)
+    else:
+        driver.balancer.servers.known[send.server].ejected_until = driver.now + 9.0
+    said = driver.settle(send, Status.ERROR, final=False)
+    assert Fail(1) in said and not sends(said)
+    assert not driver.balancer.queue and 1 not in driver.balancer.gate.calls
+
+
 def test_class_without_late_worth_times_out_at_its_aim() -> None:
     driver = Driver(settings())
     assert only_send(driver.arrive(1)).timeout == pytest.approx(1.0)
