--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -619,9 +619,10 @@
         return (best, best_load) if best is not None else None
 
     def hopeless(self, call: Call, gate: Obligations, now: float) -> bool:
-        """Whether no server can take a further attempt of this call any more: none is left of its group, its
-        window is over, or those that are left come back too late."""
-        return not any(
+        """Whether no server can take a further attempt of a call that may have run any more: none is left of
+        its group, its window is over, or those that are left come back too late. One that never ran may go to
+        any server that is still to come, and waits like a new one."""
+        return gate.may_have_run(call) is not None and not any(
             server.ejected_until < call.useful_until and gate.may_send(call, server, now)
             for server in self.pool
         )
