Ask whether the caller has left right before an attempt's first byte

What was known of a client's leaving came from the loop: on a connection that is read from when its end is read, on one that isn't from a look every 0.1 s. Both are late where this process was busy, and the look alone may be 0.1 s late and then some.

At fault: may_start in driver.py asked whether the call is open and the backend serves, not for the caller itself. All attempts pass there (new connection, kept one, further attempt, one whose kept connection had broken), so it is the one place. It now polls the caller's socket; where that has ended, the call counts as left and the attempt as never sent. Ruled out: the last byte, a millisecond later (an attempt begins at its first); a request read from a connection whose peer has already gone (it is handed to the module, and stopped at the same place).

Tests on real sockets: the caller closes or resets right before the first byte would go out, with and without bytes behind its request, on a new connection, on a kept one and before a further attempt: twelve cases, all twelve seen to fail without the two lines in driver.py.

--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -315,6 +315,8 @@
         head = request.head + b"x-budget: %du\r\n\r\n" % max(1, int(timeout * 1e6))
 
         def may_start() -> bool:
+            if call.open and call.reply.gone():
+                self.left(call)
             return call.open and upstream.serving
 
         def done(exchange: Exchange) -> None:
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -68,6 +68,8 @@
 
     def answer(self, code: int, headers: Any, body: bytes) -> None: ...
 
+    def gone(self) -> bool: ...
+
 
 class Handler(Protocol):
     """What the callers' side asks of the driver."""
@@ -396,6 +398,14 @@
         poll.register(self.fileno, select.POLLIN)
         return bool(poll.poll(0))
 
+    def gone(self) -> bool:
+        """Whether the peer has closed or reset, though the loop may not have heard of it from the socket."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self.fileno, GONE)
+        return bool(poll.poll(0))
+
     def abort(self) -> None:
         self.leaving = True
         if self.transport is not None:
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -19,6 +19,9 @@
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         raise AssertionError("nothing is answered here")
 
+    def gone(self) -> bool:
+        return False
+
 
 def request(came: float) -> Request:
     return Request(
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -7,7 +7,7 @@
 import socket
 import struct
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import Any
 
 import pytest
@@ -30,6 +30,7 @@
 from granitepoint.__main__ import drain
 from granitepoint.benchlink import read_settings
 from granitepoint.interface import Effect
+from granitepoint.net import upstream
 from granitepoint.net.config import Config, flatten
 from granitepoint.net.discovery import read_listing
 from granitepoint.net.driver import Driver
@@ -115,6 +116,7 @@
     def __init__(self, driver: Driver, server: Server, port: int, backend: Backend) -> None:
         self.driver, self.server, self.port, self.backend = driver, server, port, backend
         self.version = 1
+        self.background: set[asyncio.Future[None]] = set()  # of the test's own, ended with the node
 
     async def caller(self) -> Caller:
         return Caller(*await asyncio.open_connection("127.0.0.1", self.port))
@@ -148,10 +150,13 @@
     server = Server(driver.effects, driver, 256, 64)
     driver.start()
     port = await server.listen("127.0.0.1", 0)
+    here = Node(driver, server, port, backend)
     try:
         async with asyncio.timeout(PATIENCE):
-            yield Node(driver, server, port, backend)
+            yield here
     finally:
+        for task in here.background:
+            task.cancel()
         server.stop_listening()
         driver.stop()
         for connection in list(server.connections):
@@ -244,6 +249,74 @@
     run(test())
 
 
+async def on_a_new_connection(here: Node) -> int:
+    return 1
+
+
+async def on_a_kept_connection(here: Node) -> int:
+    await here.served("a" * 16)
+    here.driver.counts.clear()
+    return 1
+
+
+async def again(here: Node) -> int:
+    async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+        here.backend.behave = serve_ok
+        here.lists("Terminating")  # so the next attempt has to wait
+        rejected(seen, writer)
+
+    async def resume() -> None:
+        await here.until(lambda: here.backend.behave is serve_ok and bool(here.driver.balancer.queue))
+        here.lists("Ready")
+
+    here.backend.behave = behave
+    here.background.add(asyncio.ensure_future(resume()))
+    return 2
+
+
+@pytest.mark.parametrize("end", [close, reset])
+@pytest.mark.parametrize("behind", [b"", STOCK % 2], ids=["alone", "with bytes behind it"])
+@pytest.mark.parametrize("attempt", [on_a_new_connection, on_a_kept_connection, again])
+def test_no_attempt_begins_for_a_caller_whose_leaving_lies_unread(
+    attempt: Callable[[Node], Awaitable[int]],
+    behind: bytes,
+    end: Callable[[socket.socket], None],
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """It leaves right before the first byte would go out, and the loop has not looked at its socket since."""
+
+    async def test() -> None:
+        async with node() as here:
+            last = await attempt(here)
+            caller = socket.create_connection(("127.0.0.1", here.port))
+            started, begun = 0, []
+            run_on, begin = upstream.Exchange.run_on, upstream.Connection.begin
+
+            def leave_first(exchange: upstream.Exchange, connection: upstream.Connection) -> None:
+                nonlocal started
+                if FIRST.encode() in exchange.request:
+                    started += 1
+                    if started == last:
+                        end(caller)
+                run_on(exchange, connection)
+
+            def note(connection: upstream.Connection, exchange: upstream.Exchange) -> None:
+                begun.append(exchange.request)
+                begin(connection, exchange)
+
+            monkeypatch.setattr(upstream.Exchange, "run_on", leave_first)
+            monkeypatch.setattr(upstream.Connection, "begin", note)
+            head = b"POST /canje HTTP/1.1\r\nX-Call-Id: %s\r\nX-Budget: 6000m\r\n" % FIRST.encode()
+            caller.sendall(head + b"Content-Length: 0\r\n\r\n" + behind)
+            await here.until(lambda: started == last)
+            await here.left()
+            await here.served(SECOND)
+            assert sum(FIRST.encode() in request for request in begun) == last - 1
+            assert not here.driver.ids and not here.driver.out
+
+    run(test())
+
+
 async def asked_while_the_loop_looks_away(server: Server, port: int, handler: Held) -> socket.socket:
     """A caller that was answered; its next request lies in the socket, and the loop has not run since."""
     caller = socket.create_connection(("127.0.0.1", port))
