Give the pauses between calls to discovery jitter, and let them grow

Suspicion: RENEW_SPACING, PUSH_SPACING and MOVE_SPACING are fixed, so all that lost one discovery ask at the same pace. Ruled out: the module's own first watch and its pause after a failure, which are drawn anew each time.

Each pause is now drawn between half and all of a bound that doubles per failure in a row, up to a longest one, from a generator handed in (the driver seeds it from the configuration's seed, apart from the module's). RENEW and MOVE_AGAIN come up to 15% sooner at random, as one change told to all starts all watches in the same moment. So that a renewal that waits in turn 2 s and fails may still be made twice more with the longest pauses before a silent watch counts as told, RENEW goes from 20 to 18 s.

Test: 40 clients of different seeds (three ways of losing discovery) ask at different times, and two of one seed at the same; it fails with the jitter taken out, all three ways.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
+from random import Random
 from typing import Any, cast
 
 import httptools
@@ -18,17 +19,19 @@
 
 log = logging.getLogger(__name__)
 
-RENEW = 20.0  # s after which a watch that has said nothing is asked anew: it may have fallen silent
+RENEW = 18.0  # s after which a watch that has said nothing is asked anew: it may have fallen silent
 HOLD_MS = 25_000  # how long a watch may wait; what a silent one misses counts as told 2 s after that
 PATIENCE = 4.0  # s beyond a call's own wait after which it has failed: calls wait in turn
-RENEW_SPACING = 0.5  # s between tries to renew a watch, while the one before still waits
 CONNECT_TIMEOUT = 1.0  # s
 LEAST_SPACING = 0.05  # s between two watches, should discovery answer each at once
 LARGEST = 8 << 20  # bytes of an answer
-PUSH_SPACING = 0.1  # s between tries to open a watch on lists that are pushed: they count as told at once
-MOVE_SPACING = 0.2  # s between tries for the first list of a new address
+PUSH_PAUSE = (0.1, 0.15)  # s between tries to open a watch on pushed lists, which count as told at once
+RENEW_PAUSE = (0.3, 0.8)  # s between tries to renew a watch, while the one before still waits
+MOVE_PAUSE = (0.2, 0.5)  # s between tries for the first list of a new address
 MOVE_AGAIN = 2.5  # s after which the first list is asked for once more, beside the call that is out
 MOVE_TRIES = 15  # such tries, before the module is told that the call failed
+JITTER = 0.5  # share by which a pause may be shorter: all that lost one discovery would ask in step
+EARLIER = 0.15  # the same of RENEW and MOVE_AGAIN
 
 STATES = {"Ready": ServerState.SERVING, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
 # Wall less monotonic time, taken once: the same since_ms must give the same figure in every list, or a step
@@ -162,9 +165,10 @@
         version: int,
         on_list: Callable[[Listing], None],
         on_failed: Callable[[], None],
+        random: Random,
         pushed: bool = False,
     ) -> None:
-        self.at, self.pushed = at, pushed
+        self.at, self.random, self.pushed = at, random, pushed
         self.version: int | None = version  # None: nothing is known of this server's versions yet
         self.on_list, self.on_failed = on_list, on_failed
         self.lists = 0  # taken so far
@@ -212,7 +216,7 @@
         missed counts as told. The one before stays until it ends, for it may be the one that is told."""
         loop = asyncio.get_running_loop()
         asks = self._asks
-        channel, tries = _Channel(), 0
+        channel, tries, failures = _Channel(), 0, 0
         try:
             while True:
                 begun, first = loop.time(), self.version is None
@@ -222,7 +226,7 @@
                     target = f"/v1/servers?from={self.version}&hold_ms={HOLD_MS}"
                     newest = loop.create_task(self._ask(channel, target, HOLD_MS / 1000 + PATIENCE))
                 asks[newest] = channel
-                await asyncio.wait([newest], timeout=MOVE_AGAIN if first else RENEW)
+                await asyncio.wait([newest], timeout=self._sooner(MOVE_AGAIN if first else RENEW, EARLIER))
                 for ask in [ask for ask in asks if ask.done() and ask is not newest]:
                     asks.pop(ask).close()
                 tries = tries + 1 if self.version is None else 0
@@ -230,12 +234,13 @@
                     channel = _Channel()
                     continue
                 del asks[newest]
-                if newest.result():
+                failures = 0 if newest.result() else failures + 1
+                if not failures:
                     await asyncio.sleep(max(0.0, begun + LEAST_SPACING - loop.time()))
                 elif self.pushed:
-                    await asyncio.sleep(PUSH_SPACING)
+                    await self._pause(PUSH_PAUSE, failures)
                 elif asks or (first and tries < MOVE_TRIES):
-                    await asyncio.sleep(MOVE_SPACING if first else RENEW_SPACING)
+                    await self._pause(MOVE_PAUSE if first else RENEW_PAUSE, failures)
                 else:
                     self.on_failed()
                     return
@@ -243,6 +248,14 @@
             if channel not in asks.values():
                 channel.close()
 
+    def _sooner(self, most: float, share: float) -> float:
+        return most * (1 - share * self.random.random())
+
+    async def _pause(self, pause: tuple[float, float], failures: int) -> None:
+        """Twice as long (at most) after each failure in a row, from the first figure up to the second."""
+        first, longest = pause
+        await asyncio.sleep(self._sooner(min(longest, first * 2.0 ** min(failures - 1, 8)), JITTER))
+
     async def _fetching(self) -> None:
         channel = _Channel()
         try:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -12,6 +12,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 from granitepoint import interface as api
@@ -123,6 +124,7 @@
             known.version,
             self._on_list,
             self._on_list_failed,
+            Random(f"discovery {config.seed}"),  # not the module's own numbers once more
             pushed=not self.settings.ask_for_list,
         )
         self.upstreams.apply(known)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import json
+from random import Random
 from typing import Any
 
 import pytest
@@ -66,7 +67,7 @@
     async def client(self, pushed: bool = False) -> Any:
         server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
         at = server.sockets[0].getsockname()[:2]
-        client = net.Discovery(at, 1, self.lists.put_nowait, self._failed, pushed)
+        client = net.Discovery(at, 1, self.lists.put_nowait, self._failed, Random(1), pushed)
         try:
             async with asyncio.timeout(PATIENCE):
                 yield client
@@ -86,7 +87,7 @@
 
 def test_a_watch_is_renewed_early_enough_to_be_tried_again_before_silence_counts_as_told() -> None:
     told = net.HOLD_MS / 1000 + 2.0
-    assert told - net.RENEW >= 2 * (2.0 + net.RENEW_SPACING)  # a call may wait 2 s, and then fail
+    assert told - net.RENEW >= 3 * 2.0 + 2 * max(net.RENEW_PAUSE)  # a call may wait 2 s, and then fail
     assert net.MOVE_AGAIN < 4.0  # after SIGHUP
     assert net.HOLD_MS <= 60_000
 
@@ -132,7 +133,7 @@
 ) -> None:
     """The module's pause after a failure would be longer than what is left."""
     monkeypatch.setattr(net, "RENEW", 0.05)
-    monkeypatch.setattr(net, "RENEW_SPACING", 0.01)
+    monkeypatch.setattr(net, "RENEW_PAUSE", (0.01, 0.01))
 
     async def test() -> None:
         peer = OnCommand()
@@ -298,3 +299,58 @@
             assert (await old.lists.get()).version == 3 and old.lists.empty()
 
     run(test())
+
+
+class Lost(net.Discovery):
+    """One of many that lost the same discovery: each call fails at once, and no pause takes time."""
+
+    def __init__(self, seed: int, pushed: bool) -> None:
+        super().__init__(("127.0.0.1", 9), 1, lambda told: None, self._failed, Random(seed), pushed)
+        self.failed = asyncio.Event()
+        self.pauses: list[float] = []
+
+    def _failed(self) -> None:
+        self.failed.set()
+
+    async def _ask(self, channel: Any, target: str, timeout: float) -> bool:
+        if len(self.pauses) >= 10:
+            self.failed.set()
+        return False
+
+
+@pytest.mark.parametrize("way", ["pushed", "moved", "renewing"])
+def test_those_that_lost_one_discovery_do_not_ask_in_step(way: str, monkeypatch: pytest.MonkeyPatch) -> None:
+    """At its return all their calls would come at once, and wait in turn behind each other."""
+
+    async def test() -> None:
+        sleep = asyncio.sleep
+        many = [Lost(seed, way == "pushed") for seed in (*range(40), 0)]
+        waits: dict[asyncio.Task[Any] | None, Lost] = {}
+
+        async def noted(pause: float) -> None:
+            waits[asyncio.current_task()].pauses.append(pause)
+            await sleep(0)
+
+        monkeypatch.setattr(asyncio, "sleep", noted)
+        for one in many:
+            if way == "moved":
+                one.move(one.at)
+            else:
+                one.watch(True)
+            if way == "renewing":  # the watch before is still open
+                one._asks[asyncio.ensure_future(one.failed.wait())] = net._Channel()
+            waits[one._watch] = one
+        async with asyncio.timeout(PATIENCE):
+            for one in many:
+                await one.failed.wait()
+        for one in many:
+            one.stop()
+        assert many[0].pauses == many[-1].pauses  # one seed, one course
+        longest = {"pushed": 0.15, "moved": 0.5, "renewing": 0.8}[way]
+        assert all(0 < pause <= longest for one in many for pause in one.pauses)
+        at = sorted(sum(one.pauses[:8]) for one in many[:40])
+        spacing = sum(many[0].pauses[:8]) / 8
+        closest = [sum(abs(other - this) < spacing / 20 for other in at) for this in at]
+        assert max(closest) <= 10  # of 40, within a tenth of a pause
+
+    run(test())
