See half a request whose first bytes came with the end of the one before

The first answer in the wind-down closed the connection, and close_idle and turn_away closed it too, so the rest of the second request reached a proxy that had ended its side.

At fault: server.py counted what has come in `raw`, which starts at 0 with each whole request, also where the same read went on. `inside`, which the parser's callbacks set, knew better, and was asked in one place of six. All six now ask `begun`: the two together. The first answer stays open for it, its rest is waited for (or it is refused before the end), and a close ends only this side at first where half a request has come.

--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -341,7 +341,7 @@
         if transport is None:
             return
         # What has come behind it is owed an answer too.
-        wound_up = self.server.draining and not self.waiting and not self.has_unread()
+        wound_up = self.server.draining and not (self.waiting or self.begun or self.has_unread())
         last = not self.keep_alive or wound_up
         parts = [b"HTTP/1.1 %d %s\r\n" % (code, REASONS.get(code, b"Status"))]
         parts += [name + b": " + value + b"\r\n" for name, value in headers]
@@ -354,7 +354,7 @@
         elif self.waiting:
             self.server.loop.call_soon(self._next)
         else:
-            self.server.place(self, self.server.fresh if self.inside else self.server.kept)
+            self.server.place(self, self.server.fresh if self.begun else self.server.kept)
 
     def close(self) -> None:
         """After what has been written. Where the peer may still be sending only this side ends at first:
@@ -365,7 +365,7 @@
         self.leaving = True
         self.waiting.clear()
         self.server.place(self, self.server.leaving)
-        if not (self.broken or self.paused or self.has_unread()):
+        if not (self.broken or self.paused or self.begun or self.has_unread()):
             transport.close()
             return
         if self.paused:
@@ -379,12 +379,18 @@
         self.turn_away(BadRequest(408, "the request did not end"))
 
     def turn_away(self, told: BadRequest) -> None:
-        if self.raw:
+        if self.begun:
             self._break(told)
             self._next()
         else:
             self.close()
 
+    @property
+    def begun(self) -> bool:
+        """Whether a request has begun to come of which the rest is missing. Where its first bytes came with
+        the end of the one before, none have been counted for it."""
+        return self.inside or self.raw > 0
+
     @property
     def fileno(self) -> int:
         assert self.transport is not None
@@ -495,13 +501,13 @@
     def close_idle(self) -> None:
         """All that ask nothing."""
         for connection in [*self.kept, *self.fresh]:
-            if not connection.raw and not connection.has_unread():
+            if not connection.begun and not connection.has_unread():
                 connection.close()
 
     @property
     def begun(self) -> bool:
         """Whether a request has begun to come of which the rest is missing."""
-        return any(connection.raw or connection.has_unread() for connection in (*self.kept, *self.fresh))
+        return any(connection.begun or connection.has_unread() for connection in (*self.kept, *self.fresh))
 
     def turn_away_begun(self) -> None:
         """Those whose request does not come whole before the end. It never went on: a refusal is harmless."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -425,6 +425,34 @@
     run(test())
 
 
+@pytest.mark.parametrize("whole", [True, False], ids=["comes whole", "does not"])
+def test_half_a_request_that_came_with_the_one_before_is_seen_in_the_wind_down(whole: bool) -> None:
+    async def test() -> None:
+        handler = Held()
+        async with callers_side(handler) as (server, port):
+            caller = Caller(*await asyncio.open_connection("127.0.0.1", port))
+            cut = len(STOCK % 1) + 40
+            caller.writer.write((STOCK % 1 + STOCK % 2)[:cut])  # in one piece
+            _, reply = await handler.taken.get()
+            server.draining = True
+            reply.answer(200, (), b"first")
+            assert (await caller.answer()).body == b"first"
+            server.close_idle()
+            assert server.begun
+            if whole:
+                caller.writer.write((STOCK % 1 + STOCK % 2)[cut:])
+                request, reply = await handler.taken.get()
+                assert request.id == b"%016d" % 2
+                reply.answer(200, (), b"second")
+            else:
+                server.turn_away_begun()
+            answer = await caller.answer()
+            assert (answer.code, answer.headers["connection"]) == (200 if whole else 503, "close")
+            assert await caller.ended()
+
+    run(test())
+
+
 def test_who_has_connected_when_the_listener_closes_is_served() -> None:
     """The kernel has taken the connection and the request; the loop has not accepted it yet."""
 
