Read on behind an open request, so that the time of each one runs from when it came

Found on reading: where clients send many commands at once and messages come in pieces, a connection was not read from while one request waited behind the open one. At fault: _flow in server.py, which paused on any waiting request. It now pauses once 16 KB have come ahead of the answers (one read of the loop may hold more, as before), so an ordinary burst is stamped as it comes. A caller's end is then also read at once, not looked for.

Tests: the second and third of three requests that come one after another are stamped before the first is answered; it fails on the code before. The test of the wind-down that used the pause to tell that a request had been read now looks for the waiting request itself.

--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -23,6 +23,7 @@
 MOST_BODY = 64 * 1024  # bytes of a request
 MOST_HEAD = 32 * 1024  # bytes of its target and headers
 MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # bytes of a request as it comes, chunk by chunk
+MOST_AHEAD = 16 * 1024  # bytes read ahead of the answers; what is read later seems to have come later
 WHOLE = 2.2  # s from the connect, or from a further request's first byte, to a whole request
 KEPT = 5.0  # s after an answer for which a connection that asks nothing more is kept
 LINGER = 2.0  # s in which a last answer must have been taken; what still comes meanwhile is dropped
@@ -154,9 +155,9 @@
     """One caller's connection: requests one after another, each with exactly one answer."""
 
     __slots__ = (
-        "answering", "body", "body_size", "broken", "call", "extra", "full", "head_done", "head_size",
-        "headers", "inside", "keep_alive", "leaving", "parser", "paused", "raw", "server", "since", "table",
-        "target", "transport", "waiting",
+        "ahead", "answering", "body", "body_size", "broken", "call", "extra", "full", "head_done",
+        "head_size", "headers", "inside", "keep_alive", "leaving", "parser", "paused", "raw", "server",
+        "since", "table", "target", "transport", "waiting",
     )  # fmt: skip
 
     def __init__(self, server: Server) -> None:
@@ -168,6 +169,7 @@
         self.body: list[bytes] = []
         self.head_size = self.body_size = 0
         self.raw = 0  # bytes as they came, since the last whole request
+        self.ahead = 0  # bytes read since no request was waiting behind the open one
         self.inside = False  # a request has begun to come
         self.head_done = False
         self.waiting: deque[tuple[Request | BadRequest | None, bool]] = deque()
@@ -210,7 +212,10 @@
     def _flow(self) -> None:
         """Nothing more is read from a peer that reads nothing or that is ahead of its answers."""
         if self.transport is not None and not self.leaving:
-            pause = self.full or bool(self.waiting)  # so it holds one read's worth of bodies at most
+            if not self.waiting:
+                self.ahead = 0
+            # So it holds one read's worth of bodies at most, and what little came before.
+            pause = self.full or self.ahead > MOST_AHEAD
             if pause and not self.paused:
                 self.transport.pause_reading()
                 self.server.unread.add(self)
@@ -223,6 +228,7 @@
         if self.leaving or self.broken:
             return
         self.raw += len(data)
+        self.ahead += len(data)
         try:
             self.parser.feed_data(data)
             # httptools gathers a header that does not end without a word, so what comes is counted as it is.
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -317,6 +317,29 @@
     run(test())
 
 
+def test_the_time_of_requests_that_come_at_once_runs_for_all_of_them() -> None:
+    """One that is read when the one before is answered seems to have come then: its answer would be late."""
+
+    async def test() -> None:
+        handler = Held()
+        async with callers_side(handler) as (server, port):
+            with socket.create_connection(("127.0.0.1", port)) as caller:
+                caller.sendall(STOCK % 1)
+                _, reply = await handler.taken.get()
+                (connection,) = server.connections
+                for behind in (2, 3):
+                    caller.sendall(STOCK % behind)
+                    while len(connection.waiting) < behind - 1:
+                        await asyncio.sleep(0)
+                answered = time.monotonic()
+                for _ in range(2):
+                    reply.answer(200, (), b"")
+                    request, reply = await handler.taken.get()
+                    assert request.came < answered
+
+    run(test())
+
+
 async def asked_while_the_loop_looks_away(server: Server, port: int, handler: Held) -> socket.socket:
     """A caller that was answered; its next request lies in the socket, and the loop has not run since."""
     caller = socket.create_connection(("127.0.0.1", port))
@@ -411,7 +434,7 @@
             _, reply = await handler.taken.get()
             server.draining = True
             caller.writer.write(STOCK % 2)
-            while looked and not server.unread:
+            while looked and not any(connection.waiting for connection in server.connections):
                 await asyncio.sleep(0)
             reply.answer(200, (), b"first")
             assert (await caller.answer()).body == b"first"
