Make room for a newcomer at the cost of idle callers before that of an answer on its way

Found on reading the crowd of idle clients against the term that a request has to get its final answer: at the bound on connections, one that had had its last answer went first and at once, reset with whatever of the answer had not left yet, while idle ones stayed. At fault: _make_room in server.py, which took the first of `leaving` whatever its age. They now stand in YIELDS as the others do: after 0.5 s behind those that ask nothing for long, and sooner only as the last resort. Ruled out: a burst of connects passing the bound before the resets take effect (900 at once on a limit of 256: 116 accepted at most, the bound is 130).

Test: with a silent caller beside it, an answer larger than the system's buffers arrives whole; it fails on the code before.

--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -29,8 +29,9 @@
 LINGER = 2.0  # s in which a last answer must have been taken; what still comes meanwhile is dropped
 SWEEP = 0.1  # s between looks for connections whose time is up
 RESERVE = 24  # descriptors for the listener, discovery, the loop and the log, at 240 and more
-# Who makes room, in this order: who has asked nothing yet (fresh) or no more (kept) for so many s.
-YIELDS = (("fresh", 0.3), ("kept", 2.0), ("fresh", 0.05), ("kept", 0.5))
+# Who makes room, in this order: who has asked nothing yet (fresh) or no more (kept), or had its last answer
+# (leaving), which may still be on its way, for so many s.
+YIELDS = (("fresh", 0.3), ("kept", 2.0), ("leaving", 0.5), ("fresh", 0.05), ("kept", 0.5), ("leaving", 0.0))
 GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the other side has closed or reset
 LOOKED_AT = 8  # of these at most, for one in whose socket no request lies
 EXTRA_SHARE = 0.12  # of the callers' connections, where a newcomer is told that there is no room
@@ -469,14 +470,12 @@
 
     def _make_room(self) -> bool:
         now = time.monotonic()
-        if self.leaving:
-            next(iter(self.leaving)).abort()
-            return True
+        tables = {"fresh": self.fresh, "kept": self.kept, "leaving": self.leaving}
         for which, age in YIELDS:
-            for oldest in islice(self.kept if which == "kept" else self.fresh, LOOKED_AT):
+            for oldest in islice(tables[which], LOOKED_AT):
                 if oldest.since > now - age:
                     break
-                if not oldest.has_unread():
+                if oldest.leaving or not oldest.has_unread():
                     self.place(oldest, None)
                     oldest.abort()
                     return True
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -422,6 +422,36 @@
     run(test())
 
 
+def test_a_last_answer_that_is_on_its_way_is_not_cut_off_to_make_room() -> None:
+    """One that asks nothing makes room first."""
+
+    async def test() -> None:
+        handler = Held()
+        loop = asyncio.get_running_loop()
+        async with callers_side(handler) as (server, port):
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                caller.connect(("127.0.0.1", port))
+                caller.setblocking(False)
+                caller.send((STOCK % 1).replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
+                _, reply = await handler.taken.get()
+                silent = Caller(*await asyncio.open_connection("127.0.0.1", port))
+                while not server.fresh:
+                    await asyncio.sleep(0)
+                for connection in server.fresh:
+                    connection.since -= WHOLE
+                body = bytes(8 << 20)  # more than the system holds for a connection
+                reply.answer(200, (), body)
+                assert server.leaving and server._make_room() and not server.fresh
+                assert await silent.ended()
+                come = 0
+                while part := await loop.sock_recv(caller, 1 << 20):
+                    come += len(part)
+                assert come > len(body)
+
+    run(test())
+
+
 @pytest.mark.parametrize("looked", [True, False], ids=["read", "unread"])
 def test_a_request_that_came_behind_another_is_answered_in_the_wind_down(looked: bool) -> None:
     """It has been taken: the close that comes with the first answer would lose it."""
