Refuse a request that crosses the end of the wind-down instead of dropping it

An answer leaves its connection open where a further request lies unread behind it; if that was the last call and the time for half requests was over, the loop ended before that request was read, and turn_away_begun closed the connection: the request was read and dropped with no answer.

At fault: turn_away in server.py, which looked at bytes read and not at those in the socket, and drain in __main__.py, which called it once.

Test: a request that lies in the socket when nothing more is served gets its 503; it fails on the code before.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -65,9 +65,9 @@
     while driver.calls or (server.begun and time.monotonic() < rest_by):
         server.close_idle()
         await asyncio.sleep(DRAIN_STEP)
-    server.turn_away_begun()
     # All is answered; the last bytes may still be on their way to a slow peer.
     for _ in range(int(LAST_BYTES / DRAIN_STEP)):
+        server.turn_away_begun()
         if not server.connections:
             return
         await asyncio.sleep(DRAIN_STEP)
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -179,7 +179,7 @@
         self.keep_alive = True
         self.broken = False  # what still comes is read, so that the answer arrives, and dropped
         self.leaving = False  # has had its last answer
-        self.extra = False  # came when there was no room
+        self.extra = False  # came when there was no room, or stays at the end: what it asks is refused
         self.table: dict[ClientConnection, None] | None = None  # of the server's, by what it is waited for
         self.since = 0.0
         self.full = False  # the peer does not read
@@ -326,7 +326,7 @@
             elif self.extra:
                 # Never sent, so a refusal is harmless.
                 self.keep_alive = False
-                self.answer(503, ((b"retry-after", b"1"),), b"too many connections\n")
+                self.answer(503, ((b"retry-after", b"1"),), b"no room for this connection\n")
             else:
                 try:
                     call = self.server.handler.opened(request, self)
@@ -515,9 +515,12 @@
         return any(connection.begun or connection.has_unread() for connection in (*self.kept, *self.fresh))
 
     def turn_away_begun(self) -> None:
-        """Those whose request does not come whole before the end. It never went on: a refusal is harmless."""
+        """Those whose request does not come whole before the end. It never went on: a refusal is harmless.
+        What lies unread is read first, and refused where that makes it whole."""
         for connection in [*self.kept, *self.fresh]:
-            connection.turn_away(BadRequest(503, "this proxy is ending"))
+            connection.extra = True
+            if not connection.has_unread():
+                connection.turn_away(BadRequest(503, "this proxy is ending"))
 
     def abort_leaving(self) -> None:
         """Ends what a close does not: peers that never take their last answer."""
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -382,6 +382,24 @@
     run(test())
 
 
+def test_a_request_that_crosses_the_end_of_the_wind_down_is_refused() -> None:
+    """It lies in the socket when nothing more is served; a close that answers nothing would lose it."""
+
+    async def test() -> None:
+        handler = Held()
+        async with callers_side(handler) as (server, port):
+            with await asked_while_the_loop_looks_away(server, port, handler) as caller:
+                server.draining = True
+                server.turn_away_begun()
+                other = Caller(*await asyncio.open_connection(sock=caller.dup()))
+                assert (await other.answer()).code == 200  # the one before
+                answer = await other.answer()
+                assert (answer.code, answer.headers["connection"]) == (503, "close")
+                assert await other.ended() and handler.taken.empty()
+
+    run(test())
+
+
 def test_a_first_request_that_comes_as_its_time_ends_is_taken() -> None:
     async def test() -> None:
         handler = Held()
