--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -16,7 +16,7 @@
 import httptools
 
 from granitepoint.interface import Effect
-from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, UPSTREAM_SHARE
+from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, UPSTREAM_SHARE, clean
 
 log = logging.getLogger(__name__)
 
@@ -262,7 +262,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._count_head(len(name) + len(value))
         if not self.head_done:  # a trailer is no header
-            self.headers.append((name.lower(), value))
+            self.headers.append(clean(name, value))
 
     def _count_head(self, size: int) -> None:
         self.head_size += size
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -38,6 +38,13 @@
 )
 
 
+def clean(name: bytes, value: bytes) -> tuple[bytes, bytes]:
+    """A header, without the blanks round its value: httptools leaves those behind it. A coding with a
+    tab behind it is none that httptools knows, so that stays as it is."""
+    name = name.lower()
+    return name, value.strip(b" " if name == b"transfer-encoding" else b" \t")
+
+
 class Exchange:
     """One request to one backend, from the decision to send until its one end.
 
@@ -242,7 +249,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.head_done:  # a trailer is no header
-            self.headers.append((name.lower(), value))
+            self.headers.append(clean(name, value))
 
     def on_headers_complete(self) -> None:
         code = self.parser.get_status_code()
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -84,6 +84,8 @@
     "noise behind": (OK + b"Content-Length: 2\r\n\r\nme\x00\x01noise", False),
     "a copy behind": ((OK + b"Content-Length: 2\r\n\r\nme") * 2, False),
     "half a copy behind": (OK + b"Content-Length: 2\r\n\r\nmeHTTP", False),
+    "blanks round values": (OK + b"Content-Length: \t 2 \t\r\n\r\nme", True),
+    "blanks round a coding": (OK + b"Transfer-Encoding:   chunked \r\n\r\n02;a=1\r\nme\r\n0\r\n\r\n", True),
     "bad report": (OK + b"X-Load-Report: inflight=,,=\r\nContent-Length: 2\r\n\r\nme", True),
 }  # fmt: skip
 
@@ -108,10 +110,11 @@
     run(test())
 
 
-def test_an_answer_may_end_with_its_connection_if_it_says_so() -> None:
+@pytest.mark.parametrize("blank", [b"", b" "])
+def test_an_answer_may_end_with_its_connection_if_it_says_so(blank: bytes) -> None:
     async def test() -> None:
         async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
-            writer.write(OK + b"Connection: close\r\n\r\nme")
+            writer.write(OK + b"Connection: close" + blank + b"\r\n\r\nme")
             await writer.drain()
             writer.close()
 
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -318,6 +318,23 @@
     run(test())
 
 
+@pytest.mark.parametrize(
+    "framing", [b"Content-Length: 2 \t\r\n\r\nhi", b"Transfer-Encoding: chunked \r\n\r\n2\r\nhi\r\n0\r\n\r\n"]
+)
+def test_blanks_round_the_values_of_headers_are_no_part_of_them(framing: bytes) -> None:
+    async def test() -> None:
+        backend = Backend()
+        async with proxy({"s-1": backend}) as node:
+            head = b"POST /reserva HTTP/1.1\r\nX-Call-Id:\t 0011223344556677 \r\nX-Budget: 500m\t\r\n"
+            caller = await node.caller()
+            assert (await caller.raw(head + b"Idempotency-Key:  k \r\n" + framing)).code == 200
+            seen = await next_call(backend)
+        assert (seen.body, seen.headers["x-call-id"]) == (b"hi", "0011223344556677")
+        assert seen.headers["idempotency-key"] == "k"
+
+    run(test())
+
+
 def test_requests_that_come_at_once_are_answered_in_turn() -> None:
     async def test() -> None:
         async with proxy({"s-1": Backend()}) as node:
