Pass on requests and answers of up to 256 KB, few of the former at once

At fault, if so: MOST_BODY in server.py and upstream.py. Both are now 256 KB; the bound on raw bytes stays. So that a flood can't fill the memory with such bodies, no more connections hold one beyond 64 KB at once than fit a tenth of the memory, with their copies; more are turned away as before.

--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -20,9 +20,10 @@
 
 log = logging.getLogger(__name__)
 
-MOST_BODY = 64 * 1024  # bytes of a request
+MOST_BODY = 256 * 1024  # bytes of a request
+LONG_BODY = 64 * 1024  # bytes beyond which it is a long one; few are held at once
 MOST_HEAD = 32 * 1024  # bytes of its target and headers
-MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # bytes of a request as it comes, chunk by chunk
+MOST_RAW = MOST_HEAD + 2 * MOST_BODY  # bytes of a request as it comes, chunk by chunk
 MOST_AHEAD = 16 * 1024  # bytes read ahead of the answers; what is read later seems to have come later
 WHOLE = 2.2  # s from the connect, or from a further request's first byte, to a whole request
 KEPT = 5.0  # s after an answer for which a connection that asks nothing more is kept
@@ -36,6 +37,7 @@
 LOOKED_AT = 8  # of these at most, for one in whose socket no request lies
 EXTRA_SHARE = 0.12  # of the callers' connections, where a newcomer is told that there is no room
 BASE_MEMORY = 20  # MB of the process before it serves
+LONG_SHARE = 0.1  # of the memory beyond that, for long requests
 CALLER_MEMORY = 0.125  # MB that a connection may hold: a request with its copy, and an answer
 UNCLEAN = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")  # in a header's value
 TARGET = re.compile(rb"/[\x21-\x7e]*")
@@ -198,6 +200,7 @@
         self.server.place(self, None)
         self.server.connections.discard(self)
         self.server.unread.discard(self)
+        self.server.long.discard(self)
         call, self.call = self.call, None
         if call is not None:
             self.server.handler.left(call)
@@ -246,6 +249,7 @@
 
     def _break(self, bad: BadRequest) -> None:
         self.waiting.append((bad, False))
+        self.body = []
         self.broken = True
 
     # parser callbacks
@@ -279,18 +283,20 @@
         if lengths:
             if not lengths[0].isdigit():
                 raise BadRequest(400, "Content-Length is malformed")
-            if len(lengths[0]) > 15 or int(lengths[0]) > MOST_BODY:
-                raise BadRequest(413, "body too large")
+            self._check_size(int(lengths[0]) if len(lengths[0]) <= 15 else MOST_BODY + 1)
         expects = any(n == b"expect" and v.lower() == b"100-continue" for n, v in self.headers)
         if expects and self.transport is not None and not self.answering and not self.waiting:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, chunk: bytes) -> None:
         self.body_size += len(chunk)
-        if self.body_size > MOST_BODY:
-            raise BadRequest(413, "body too large")
+        self._check_size(self.body_size)
         self.body.append(chunk)
 
+    def _check_size(self, size: int) -> None:
+        if size > MOST_BODY or (size > LONG_BODY and not self.server.room_for_long(self)):
+            raise BadRequest(413, "body too large")
+
     def on_message_complete(self) -> None:
         self.inside = self.head_done = False
         self.raw = 0
@@ -344,6 +350,8 @@
             raise RuntimeError("a request has one answer")
         self.answering = False
         self.call = None
+        if not self.waiting and (self.broken or not self.inside):
+            self.server.long.discard(self)
         transport = self.transport
         if transport is None:
             return
@@ -438,10 +446,13 @@
         self.effects, self.handler = effects, handler
         others = int(sockets * UPSTREAM_SHARE) + min(RESERVE, sockets // 10)
         by_memory = int(max(1.0, memory_mb - BASE_MEMORY) / CALLER_MEMORY)
+        # Each with its copy.
+        self.most_long = max(1, int(LONG_SHARE * (memory_mb - BASE_MEMORY) * 2**20 / (2 * MOST_BODY)))
         self.most_ever = max(8, min(sockets - others, by_memory))
         self.most_open = self.most_ever - int(self.most_ever * EXTRA_SHARE)
         self.connections: set[ClientConnection] = set()
         self.unread: set[ClientConnection] = set()  # not read from for now
+        self.long: set[ClientConnection] = set()  # hold a long request
         self.fresh: dict[ClientConnection, None] = {}  # owe a whole request
         self.kept: dict[ClientConnection, None] = {}  # answered, and asking nothing
         self.leaving: dict[ClientConnection, None] = {}  # have had their last answer
@@ -457,6 +468,11 @@
             connection.since = time.monotonic()
             table[connection] = None
 
+    def room_for_long(self, connection: ClientConnection) -> bool:
+        if len(self.long) < self.most_long:
+            self.long.add(connection)
+        return connection in self.long
+
     def add(self, connection: ClientConnection) -> None:
         """Descriptors are bounded: beyond the bound, a connection that is of no use makes room. Where all
         are, the newcomer's request is refused, and in the end the newcomer itself."""
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -20,9 +20,9 @@
 
 log = logging.getLogger(__name__)
 
-MOST_BODY = 64 * 1024  # bytes of an answer
+MOST_BODY = 256 * 1024  # bytes of an answer
 MOST_HEAD = 32 * 1024  # bytes of an answer's headers, with all 1xx answers ahead of it
-MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # bytes of an answer as it comes, chunk by chunk
+MOST_RAW = MOST_HEAD + 2 * MOST_BODY  # bytes of an answer as it comes, chunk by chunk
 IDLE_SHARE = 0.9  # of the settings' idle time after which this side closes first
 LATE = 0.01  # s of delay of a timer after which the sockets are looked at first
 ONE_TURN = 0.001  # s; the loop reads its sockets before such a timer
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -215,6 +215,24 @@
     run(test())
 
 
+def test_few_long_requests_are_held_at_once() -> None:
+    """Each may be 256 KB, and memory is little."""
+
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}, sockets=128) as node:
+            begin = b"POST /canje" + HEAD + b"Content-Length: 200000\r\n\r\n"
+            callers = [await node.caller() for _ in range(60)]
+            for caller in callers:
+                caller.writer.write(begin + bytes(100_000))
+            codes = [await told(caller) for caller in callers]
+            assert 0 < codes.count(408) <= 0.1 * (192 - 20) / 0.5 and codes.count(413) >= 20
+            assert set(codes) <= {408, 413}
+            caller = await node.caller()
+            assert (await caller.call("canje", "4" * 16, body=bytes(100_000))).code == 200
+
+    run(test())
+
+
 def test_a_trailer_is_no_header() -> None:
     async def test() -> None:
         backend = Backend()
