--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -12,6 +12,7 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from random import Random
 from typing import Any
 
 from granitepoint import interface as api
@@ -124,6 +125,7 @@
             known.version,
             self._on_list,
             self._on_list_failed,
+            Random(f"discovery {config.seed}"),  # not the module's own numbers once more
             pushed=not self.settings.ask_for_list,
         )
         self.upstreams.apply(known)
@@ -323,6 +325,8 @@
             return sent.head + b"x-budget: %du\r\n\r\n" % max(1, int(left * 1e6)) + sent.body
 
         def may_start() -> bool:
+            if call.open and call.reply.gone():
+                self.left(call)
             return call.open and upstream.serving
 
         def done(exchange: Exchange) -> None:
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -16,24 +16,28 @@
 import httptools
 
 from granitepoint.interface import Effect
-from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, UPSTREAM_SHARE
+from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, UPSTREAM_SHARE, clean
 
 log = logging.getLogger(__name__)
 
-MOST_BODY = 64 * 1024  # bytes of a request
+MOST_BODY = 256 * 1024  # bytes of a request
+LONG_BODY = 64 * 1024  # bytes beyond which it is a long one; few are held at once
 MOST_HEAD = 32 * 1024  # bytes of its target and headers
-MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # bytes of a request as it comes, chunk by chunk
+MOST_RAW = MOST_HEAD + 2 * MOST_BODY  # bytes of a request as it comes, chunk by chunk
+MOST_AHEAD = 16 * 1024  # bytes read ahead of the answers; what is read later seems to have come later
 WHOLE = 2.2  # s from the connect, or from a further request's first byte, to a whole request
 KEPT = 5.0  # s after an answer for which a connection that asks nothing more is kept
 LINGER = 2.0  # s in which a last answer must have been taken; what still comes meanwhile is dropped
 SWEEP = 0.1  # s between looks for connections whose time is up
 RESERVE = 24  # descriptors for the listener, discovery, the loop and the log, at 240 and more
-# Who makes room, in this order: who has asked nothing yet (fresh) or no more (kept) for so many s.
-YIELDS = (("fresh", 0.3), ("kept", 2.0), ("fresh", 0.05), ("kept", 0.5))
+# Who makes room, in this order: who has asked nothing yet (fresh) or no more (kept), or had its last answer
+# (leaving), which may still be on its way, for so many s.
+YIELDS = (("fresh", 0.3), ("kept", 2.0), ("leaving", 0.5), ("fresh", 0.05), ("kept", 0.5), ("leaving", 0.0))
 GONE = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # the other side has closed or reset
 LOOKED_AT = 8  # of these at most, for one in whose socket no request lies
 EXTRA_SHARE = 0.12  # of the callers' connections, where a newcomer is told that there is no room
 BASE_MEMORY = 20  # MB of the process before it serves
+LONG_SHARE = 0.1  # of the memory beyond that, for long requests
 CALLER_MEMORY = 0.125  # MB that a connection may hold: a request with its copy, and an answer
 UNCLEAN = re.compile(rb"[\x00-\x08\x0a-\x1f\x7f]")  # in a header's value
 TARGET = re.compile(rb"/[\x21-\x7e]*")
@@ -69,6 +73,8 @@
 
     def answer(self, code: int, headers: Any, body: bytes) -> None: ...
 
+    def gone(self) -> bool: ...
+
 
 class Handler(Protocol):
     """What the callers' side asks of the driver."""
@@ -153,9 +159,9 @@
     """One caller's connection: requests one after another, each with exactly one answer."""
 
     __slots__ = (
-        "answering", "body", "body_size", "broken", "call", "extra", "full", "head_done", "head_size",
-        "headers", "inside", "keep_alive", "leaving", "parser", "paused", "raw", "server", "since", "table",
-        "target", "transport", "waiting",
+        "ahead", "answering", "body", "body_size", "broken", "call", "extra", "full", "head_done",
+        "head_size", "headers", "inside", "keep_alive", "leaving", "parser", "paused", "raw", "server",
+        "since", "table", "target", "transport", "waiting",
     )  # fmt: skip
 
     def __init__(self, server: Server) -> None:
@@ -167,6 +173,7 @@
         self.body: list[bytes] = []
         self.head_size = self.body_size = 0
         self.raw = 0  # bytes as they came, since the last whole request
+        self.ahead = 0  # bytes read since no request was waiting behind the open one
         self.inside = False  # a request has begun to come
         self.head_done = False
         self.waiting: deque[tuple[Request | BadRequest | None, bool]] = deque()
@@ -175,7 +182,7 @@
         self.keep_alive = True
         self.broken = False  # what still comes is read, so that the answer arrives, and dropped
         self.leaving = False  # has had its last answer
-        self.extra = False  # came when there was no room
+        self.extra = False  # came when there was no room, or stays at the end: what it asks is refused
         self.table: dict[ClientConnection, None] | None = None  # of the server's, by what it is waited for
         self.since = 0.0
         self.full = False  # the peer does not read
@@ -194,6 +201,7 @@
         self.server.place(self, None)
         self.server.connections.discard(self)
         self.server.unread.discard(self)
+        self.server.long.discard(self)
         call, self.call = self.call, None
         if call is not None:
             self.server.handler.left(call)
@@ -209,7 +217,10 @@
     def _flow(self) -> None:
         """Nothing more is read from a peer that reads nothing or that is ahead of its answers."""
         if self.transport is not None and not self.leaving:
-            pause = self.full or bool(self.waiting)  # so it holds one read's worth of bodies at most
+            if not self.waiting:
+                self.ahead = 0
+            # So it holds one read's worth of bodies at most, and what little came before.
+            pause = self.full or self.ahead > MOST_AHEAD
             if pause and not self.paused:
                 self.transport.pause_reading()
                 self.server.unread.add(self)
@@ -222,6 +233,7 @@
         if self.leaving or self.broken:
             return
         self.raw += len(data)
+        self.ahead += len(data)
         try:
             self.parser.feed_data(data)
             # httptools gathers a header that does not end without a word, so what comes is counted as it is.
@@ -238,6 +250,7 @@
 
     def _break(self, bad: BadRequest) -> None:
         self.waiting.append((bad, False))
+        self.body = []
         self.broken = True
 
     # parser callbacks
@@ -254,7 +267,7 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         self._count_head(len(name) + len(value))
         if not self.head_done:  # a trailer is no header
-            self.headers.append((name.lower(), value))
+            self.headers.append(clean(name, value))
 
     def _count_head(self, size: int) -> None:
         self.head_size += size
@@ -271,18 +284,20 @@
         if lengths:
             if not lengths[0].isdigit():
                 raise BadRequest(400, "Content-Length is malformed")
-            if len(lengths[0]) > 15 or int(lengths[0]) > MOST_BODY:
-                raise BadRequest(413, "body too large")
+            self._check_size(int(lengths[0]) if len(lengths[0]) <= 15 else MOST_BODY + 1)
         expects = any(n == b"expect" and v.lower() == b"100-continue" for n, v in self.headers)
         if expects and self.transport is not None and not self.answering and not self.waiting:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, chunk: bytes) -> None:
         self.body_size += len(chunk)
-        if self.body_size > MOST_BODY:
-            raise BadRequest(413, "body too large")
+        self._check_size(self.body_size)
         self.body.append(chunk)
 
+    def _check_size(self, size: int) -> None:
+        if size > MOST_BODY or (size > LONG_BODY and not self.server.room_for_long(self)):
+            raise BadRequest(413, "body too large")
+
     def on_message_complete(self) -> None:
         self.inside = self.head_done = False
         self.raw = 0
@@ -318,7 +333,7 @@
             elif self.extra:
                 # Never sent, so a refusal is harmless.
                 self.keep_alive = False
-                self.answer(503, self.server.advice, b"too many connections\n")
+                self.answer(503, self.server.advice, b"no room for this connection\n")
             else:
                 try:
                     call = self.server.handler.opened(request, self)
@@ -336,11 +351,13 @@
             raise RuntimeError("a request has one answer")
         self.answering = False
         self.call = None
+        if not self.waiting and (self.broken or not self.inside):
+            self.server.long.discard(self)
         transport = self.transport
         if transport is None:
             return
         # What has come behind it is owed an answer too.
-        wound_up = self.server.draining and not self.waiting and not self.has_unread()
+        wound_up = self.server.draining and not (self.waiting or self.begun or self.has_unread())
         last = not self.keep_alive or wound_up
         parts = [b"HTTP/1.1 %d %s\r\n" % (code, REASONS.get(code, b"Status"))]
         parts += [name + b": " + value + b"\r\n" for name, value in headers]
@@ -353,7 +370,7 @@
         elif self.waiting:
             self.server.loop.call_soon(self._next)
         else:
-            self.server.place(self, self.server.fresh if self.inside else self.server.kept)
+            self.server.place(self, self.server.fresh if self.begun else self.server.kept)
 
     def close(self) -> None:
         """After what has been written. Where the peer may still be sending only this side ends at first:
@@ -364,7 +381,7 @@
         self.leaving = True
         self.waiting.clear()
         self.server.place(self, self.server.leaving)
-        if not (self.broken or self.paused or self.has_unread()):
+        if not (self.broken or self.paused or self.begun or self.has_unread()):
             transport.close()
             return
         if self.paused:
@@ -378,12 +395,18 @@
         self.turn_away(BadRequest(408, "the request did not end"))
 
     def turn_away(self, told: BadRequest) -> None:
-        if self.raw:
+        if self.begun:
             self._break(told)
             self._next()
         else:
             self.close()
 
+    @property
+    def begun(self) -> bool:
+        """Whether a request has begun to come of which the rest is missing. Where its first bytes came with
+        the end of the one before, none have been counted for it."""
+        return self.inside or self.raw > 0
+
     @property
     def fileno(self) -> int:
         assert self.transport is not None
@@ -397,6 +420,14 @@
         poll.register(self.fileno, select.POLLIN)
         return bool(poll.poll(0))
 
+    def gone(self) -> bool:
+        """Whether the peer has closed or reset, though the loop may not have heard of it from the socket."""
+        if self.transport is None or self.transport.is_closing():
+            return True
+        poll = select.poll()
+        poll.register(self.fileno, GONE)
+        return bool(poll.poll(0))
+
     def abort(self) -> None:
         self.leaving = True
         if self.transport is not None:
@@ -422,10 +453,13 @@
         self.effects, self.handler = effects, handler
         others = int(sockets * UPSTREAM_SHARE) + min(RESERVE, sockets // 10)
         by_memory = int(max(1.0, memory_mb - BASE_MEMORY) / CALLER_MEMORY)
+        # Each with its copy.
+        self.most_long = max(1, int(LONG_SHARE * (memory_mb - BASE_MEMORY) * 2**20 / (2 * MOST_BODY)))
         self.most_ever = max(8, min(sockets - others, by_memory))
         self.most_open = self.most_ever - int(self.most_ever * EXTRA_SHARE)
         self.connections: set[ClientConnection] = set()
         self.unread: set[ClientConnection] = set()  # not read from for now
+        self.long: set[ClientConnection] = set()  # hold a long request
         self.fresh: dict[ClientConnection, None] = {}  # owe a whole request
         self.kept: dict[ClientConnection, None] = {}  # answered, and asking nothing
         self.leaving: dict[ClientConnection, None] = {}  # have had their last answer
@@ -441,6 +475,11 @@
             connection.since = time.monotonic()
             table[connection] = None
 
+    def room_for_long(self, connection: ClientConnection) -> bool:
+        if len(self.long) < self.most_long:
+            self.long.add(connection)
+        return connection in self.long
+
     def add(self, connection: ClientConnection) -> None:
         """Descriptors are bounded: beyond the bound, a connection that is of no use makes room. Where all
         are, the newcomer's request is refused, and in the end the newcomer itself."""
@@ -454,14 +493,12 @@
 
     def _make_room(self) -> bool:
         now = time.monotonic()
-        if self.leaving:
-            next(iter(self.leaving)).abort()
-            return True
+        tables = {"fresh": self.fresh, "kept": self.kept, "leaving": self.leaving}
         for which, age in YIELDS:
-            for oldest in islice(self.kept if which == "kept" else self.fresh, LOOKED_AT):
+            for oldest in islice(tables[which], LOOKED_AT):
                 if oldest.since > now - age:
                     break
-                if not oldest.has_unread():
+                if oldest.leaving or not oldest.has_unread():
                     self.place(oldest, None)
                     oldest.abort()
                     return True
@@ -492,18 +529,21 @@
     def close_idle(self) -> None:
         """All that ask nothing."""
         for connection in [*self.kept, *self.fresh]:
-            if not connection.raw and not connection.has_unread():
+            if not connection.begun and not connection.has_unread():
                 connection.close()
 
     @property
     def begun(self) -> bool:
         """Whether a request has begun to come of which the rest is missing."""
-        return any(connection.raw or connection.has_unread() for connection in (*self.kept, *self.fresh))
+        return any(connection.begun or connection.has_unread() for connection in (*self.kept, *self.fresh))
 
     def turn_away_begun(self) -> None:
-        """Those whose request does not come whole before the end. It never went on: a refusal is harmless."""
+        """Those whose request does not come whole before the end. It never went on: a refusal is harmless.
+        What lies unread is read first, and refused where that makes it whole."""
         for connection in [*self.kept, *self.fresh]:
-            connection.turn_away(BadRequest(503, "this proxy is ending"))
+            connection.extra = True
+            if not connection.has_unread():
+                connection.turn_away(BadRequest(503, "this proxy is ending"))
 
     def abort_leaving(self) -> None:
         """Ends what a close does not: peers that never take their last answer."""
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -20,9 +20,9 @@
 
 log = logging.getLogger(__name__)
 
-MOST_BODY = 64 * 1024  # bytes of an answer
+MOST_BODY = 256 * 1024  # bytes of an answer
 MOST_HEAD = 32 * 1024  # bytes of an answer's headers, with all 1xx answers ahead of it
-MOST_RAW = MOST_HEAD + 8 * MOST_BODY  # bytes of an answer as it comes, chunk by chunk
+MOST_RAW = MOST_HEAD + 2 * MOST_BODY  # bytes of an answer as it comes, chunk by chunk
 IDLE_SHARE = 0.9  # of the settings' idle time after which this side closes first
 LATE = 0.01  # s of delay of a timer after which the sockets are looked at first
 ONE_TURN = 0.001  # s; the loop reads its sockets before such a timer
@@ -38,6 +38,13 @@
 )
 
 
+def clean(name: bytes, value: bytes) -> tuple[bytes, bytes]:
+    """A header, without the blanks round its value: httptools leaves those behind it. A coding with a
+    tab behind it is none that httptools knows, so that stays as it is."""
+    name = name.lower()
+    return name, value.strip(b" " if name == b"transfer-encoding" else b" \t")
+
+
 class Exchange:
     """One request to one backend, from the decision to send until its one end.
 
@@ -246,7 +253,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if not self.head_done:  # a trailer is no header
-            self.headers.append((name.lower(), value))
+            self.headers.append(clean(name, value))
 
     def on_headers_complete(self) -> None:
         code = self.parser.get_status_code()
