Ask discovery again within 1.3 s of a failed call: with two turns at its return 1.5 s was too long

Worked out over all states of a call: one that is refused just before discovery is back, then a turn of 2 s in vain, a pause of 0.1 s and a second turn come to the pause and 4.1 s; with a control step of 0.05 s, 1.5 s passes 5.6 s of the 6 s after which a change counts as told, and leaves too little for reading it.

Test: however often discovery failed, the next call comes within 1.6 s (as before), and none within 0.9 s.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -95,7 +95,7 @@
 FAILING_MEMORY = 5.0  # s in which such a share fades, so that the server is tried again
 COLD_SHARE = 0.5  # share of the allowed multiple of a cold server's capacity that all instances may use
 PEAK_MEMORY = 60.0  # s, memory of an instance's highest send rate: long against a ramp
-ASK_AGAIN = 1.5  # s after a failed call within which discovery is asked again: what it has is told soon
+ASK_AGAIN = 1.3  # s after a failed call within which discovery is asked again: what it has is told soon
 DOUBT_SPREAD = 2.0  # s over which instances ask again where servers contradict the list: all see it at once
 DOUBT_SPACING = 8.0  # s since it asked or was told within which an instance does not doubt the list
 IDLE_LEAST = 0.2  # s; a connection used within it is not taken to be lost for lack of use
@@ -779,7 +779,7 @@
         if event.kind is ListKind.FAILED:
             self.watching = False
             longest = min(ASK_AGAIN, self.settings.must_ask_within)
-            self.watch_at = self.now + longest * (0.6 + 0.4 * self.random.random())
+            self.watch_at = self.now + longest * (0.7 + 0.3 * self.random.random())
         else:
             if event.kind is not ListKind.SAVED:
                 self.told_at, self.doubt_at = self.now, math.inf
