Listen on a socket of our own, so that the loop starts no threads to look its address up

Seen with a probe: a process of one thread has five once it listens. Ruled out: connects, which look a numeric address up without a thread.

At fault: server.py, listen(), which gave the loop host and port. Threads that do nothing are stacks, and scheduling where one thread of a proxy runs at a time.

Test: the program is one thread after a call; fails on the code before.

--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -6,6 +6,7 @@
 import logging
 import re
 import select
+import socket
 import time
 from collections import deque
 from collections.abc import Mapping
@@ -29,6 +30,7 @@
 KEPT = 5.0  # s after an answer for which a connection that asks nothing more is kept
 LINGER = 2.0  # s in which a last answer must have been taken; what still comes meanwhile is dropped
 SWEEP = 0.1  # s between looks for connections whose time is up
+BACKLOG = 1024  # connections that the kernel holds until they are accepted
 RESERVE = 24  # descriptors for the listener, discovery, the loop and the log, at 240 and more
 # Who makes room, in this order: who has asked nothing yet (fresh) or no more (kept), or had its last answer
 # (leaving), which may still be on its way, for so many s.
@@ -505,8 +507,10 @@
         return False
 
     async def listen(self, host: str, port: int) -> int:
+        # Given a name, even a numeric one, the loop starts four threads to look it up, and keeps them.
+        bound = socket.create_server((host, port), backlog=BACKLOG)
         self.listener = await self.loop.create_server(
-            lambda: ClientConnection(self), host, port, backlog=1024
+            lambda: ClientConnection(self), sock=bound, backlog=BACKLOG
         )
         self._sweep_later()
         return int(self.listener.sockets[0].getsockname()[1])
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import os
 import signal
 import tempfile
 from typing import Any
@@ -51,6 +52,17 @@
     run(test())
 
 
+def test_the_proxy_is_one_thread() -> None:
+    """The platform may run one thread of a proxy at a time, and counts what all hold."""
+
+    async def test() -> None:
+        async with proxy({"s-1": Backend()}) as node:
+            assert (await (await node.caller()).call("stock", "1" * 16)).code == 200
+            assert len(os.listdir(f"/proc/{node.process.pid}/task")) == 1
+
+    run(test())
+
+
 def test_connections_are_kept_and_the_last_used_is_used_again() -> None:
     async def test() -> None:
         backend = Backend()
