Add a fleet of stand-ins round the real proxy, and its runs

Nothing told what a proxy costs at the size that users expect within two years: 880 backends, each with its proxy, and 63,000 calls a second.

granitepoint/fleet holds stand-ins written from the protocol: a discovery that answers in turn at a stated capacity and counts for each proxy, hollow backends that draw their service times, open-loop callers whose latency counts from the planned send, and hollow proxies, which are the real driver, module and callers' side with clocks at the seams. A run mixes real proxies with hollow ones, carries out the troubles of its file, and writes JSON lines; an interrupt ends all processes and keeps what was measured. A cut leaves connections open and silent, and new ones never come up: the backlog is made small and filled, since the kernel would take connections by itself.

The proxy imports none of it, which a test checks, and net/ is unchanged.

Tests: the stand-ins against the protocol's words, bad files, results, and a small fleet through four troubles and an interrupt.

--- /dev/null
+++ b/granitepoint/fleet/experiment.py
@@ -0,0 +1,247 @@
+"""An experiment: sizes, troubles and seed, read from a TOML file. Times are in seconds unless a key says."""
+
+from __future__ import annotations
+
+import copy
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from granitepoint.benchlink import read_settings
+from granitepoint.interface import Settings
+from granitepoint.net.config import flatten
+
+
+class ExperimentError(Exception):
+    """The file can't be used; the message is one line that names the key."""
+
+
+class _Strict(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    pass
+
+
+class DiscoverySizes(_Strict):
+    capacity_per_s: float = 2000.0  # answers, one after another
+    entry_us: float = 2.0  # work for each entry of an answer
+    patience_s: float = 2.0  # a call whose turn comes later is refused
+    kept_changes: int = 512  # a watch from before them is told the whole list
+
+
+class BackendSizes(_Strict):
+    count: int = 20  # of each service
+    services: int = 1  # more than one: a chain, each backend calling the next service through its own proxy
+    fanout: int = 1  # calls that it makes, one after another
+    zones: list[str] = msgspec.field(default_factory=lambda: ["a", "b"])
+    regions: list[list[str]] = []  # zones of each; none: one region
+    service_ms: float = 12.0  # mean
+    spread: float = 0.5  # sigma of the log-normal draw; 0: none
+    fail_share: float = 0.0  # answered with 500
+    cores: int = 4  # requests that run at a time
+    queue: int = 64
+    connections: int = 256
+    handshake_ms: float = 0.0  # added to the first request of a connection
+    per_process: int = 200
+
+
+class ProxySizes(_Strict):
+    real: int = 1  # of the first service, as processes of their own
+    hollow: int = 0  # of the first service; those of a chain's backends come on top
+    per_process: int = 110
+    timed: bool = False  # hollow ones split each call's time
+    sockets: int = 1024
+    memory_mb: float = 192.0
+
+
+class CallerSizes(_Strict):
+    rate_per_s: float = 50.0  # planned sends, over all zones
+    processes: int = 1
+    mix: dict[str, float] = {}  # share of each class; none: all alike
+    retries: int = 0  # further tries of a class that is safe to repeat, or of a refused call
+    retry_wait_s: float = 0.05  # doubled at each
+    notice_s: float = 3.0  # between the front's looks at /healthz
+
+
+class Change(_Strict, tag="change", tag_field="kind"):
+    """Entries change their weight at once."""
+
+    at_s: float
+    entries: int = 1
+    times: int = 1
+    every_s: float = 1.0
+
+
+class Restarts(_Strict, tag="restarts", tag_field="kind"):
+    """Backends drain, stop and come back cold, spread over a span."""
+
+    at_s: float
+    count: int
+    over_s: float
+    drain_s: float = 1.0
+    down_s: float = 2.0
+    proxies: bool = False  # as many proxies of the first service restart with them
+
+
+class Crash(_Strict, tag="crash", tag_field="kind"):
+    """Backends die unannounced; the list says so later; they come back cold."""
+
+    at_s: float
+    count: int
+    for_s: float
+    notice_s: float = 2.0
+
+
+class DiscoveryOutage(_Strict, tag="discovery_outage", tag_field="kind"):
+    """Discovery is down; a change waits for each proxy when it is back."""
+
+    at_s: float
+    for_s: float
+
+
+class ZoneLoss(_Strict, tag="zone_loss", tag_field="kind"):
+    """A zone's backends and proxies go silent; they come back as new processes, the backends cold."""
+
+    at_s: float
+    for_s: float
+    zone: str
+    notice_s: float = 2.0
+
+
+class RegionCut(_Strict, tag="region_cut", tag_field="kind"):
+    """The regions reach neither each other's backends nor, but for the first, discovery."""
+
+    at_s: float
+    for_s: float
+
+
+Trouble = Change | Restarts | Crash | DiscoveryOutage | ZoneLoss | RegionCut
+
+CLASSES: list[dict[str, Any]] = [
+    {"name": "read", "value": 1.0, "objective": 0.3, "deadline": 1.0, "effect": "repeatable",
+     "late_worth": 0.3, "group": "all", "stream": False},
+    {"name": "order", "value": 4.0, "objective": 0.5, "deadline": 1.5, "effect": "by_key",
+     "late_worth": 0.5, "group": "zone", "window": 3.0, "stream": False},
+    {"name": "pay", "value": 8.0, "objective": 0.8, "deadline": 2.0, "effect": "once",
+     "late_worth": 0.5, "group": "all", "stream": False},
+]  # fmt: skip
+SETTINGS: dict[str, Any] = {
+    "discovery": "ask", "quantum": 0.005, "grades": CLASSES, "tenants": [], "weights": "off",
+    "report": {"names": ["busy_reqs", "pending"], "via": "on_probe"},
+    "policy_limits": {
+        "send_cap": 3, "may_duplicate": False, "may_cancel": True, "probes": True, "conn_idle": 30.0,
+        "connect_timeout": 0.25, "most_held": 20000, "retry_after": True, "max_retry_after": 2.0,
+    },
+    "contract": {
+        "must_ask_in": 10.0, "grace_to_answer": 0.02, "drain_grace": 1.0, "cold_from": 0.2, "cold": 10.0,
+        "fall_multiple": 3.0, "overload_for": 2.0,
+    },
+    "charges": {"probe": 0.06},
+}  # fmt: skip
+
+
+class Experiment(_Strict):
+    name: str
+    seed: int
+    duration_s: float  # measured, after all proxies are ready
+    settle_s: float = 3.0  # before that, with calls
+    discovery: DiscoverySizes = msgspec.field(default_factory=DiscoverySizes)
+    backends: BackendSizes = msgspec.field(default_factory=BackendSizes)
+    proxies: ProxySizes = msgspec.field(default_factory=ProxySizes)
+    callers: CallerSizes = msgspec.field(default_factory=CallerSizes)
+    settings: dict[str, Any] = {}  # laid over SETTINGS, in the form of a proxy's configuration
+    troubles: list[Trouble] = []
+
+    def raw_settings(self) -> dict[str, Any]:
+        return _laid_over(SETTINGS, self.settings, "settings")
+
+    def module_settings(self) -> Settings:
+        raw = {**self.raw_settings(), "me": 0, "balancers": 1}
+        try:
+            return read_settings(flatten(raw))
+        except ValueError as fault:
+            raise ExperimentError(f"settings: {fault}") from None
+
+    @property
+    def regions(self) -> list[list[str]]:
+        return self.backends.regions or [self.backends.zones]
+
+    def region_of(self, zone: str) -> int:
+        return next(number for number, zones in enumerate(self.regions) if zone in zones)
+
+
+def _laid_over(base: dict[str, Any], changes: dict[str, Any], path: str) -> dict[str, Any]:
+    merged = copy.deepcopy(base)
+    for key, value in changes.items():
+        if key not in base:
+            raise ExperimentError(f"{path}.{key}: no such key")
+        nested = isinstance(value, dict) and isinstance(base[key], dict)
+        merged[key] = _laid_over(base[key], value, f"{path}.{key}") if nested else value
+    return merged
+
+
+def _need(ok: bool, key: str, text: str) -> None:
+    if not ok:
+        raise ExperimentError(f"{key}: {text}")
+
+
+def check(experiment: Experiment) -> Experiment:
+    """What types can't say; a key that would have no effect is an error too."""
+    e = experiment
+    _need(0 < e.duration_s <= 600, "duration_s", "must be above 0 and at most 600")
+    _need(0 <= e.settle_s <= 60, "settle_s", "must be from 0 to 60")
+    _need(e.discovery.capacity_per_s > 0, "discovery.capacity_per_s", "must be above 0")
+    _need(e.backends.count >= 1, "backends.count", "must be at least 1")
+    _need(1 <= e.backends.services <= 64, "backends.services", "must be from 1 to 64")
+    _need(e.backends.cores >= 1, "backends.cores", "must be at least 1")
+    _need(e.backends.service_ms >= 0, "backends.service_ms", "must not be below 0")
+    _need(bool(e.backends.zones), "backends.zones", "must name a zone")
+    total = e.backends.count * e.backends.services
+    _need(total <= 20_000, "backends.count", "more than 20,000 in all")
+    listed = [zone for region in e.regions for zone in region]
+    _need(sorted(listed) == sorted(e.backends.zones), "backends.regions", "must name each zone once")
+    _need(0 <= e.proxies.real <= 64, "proxies.real", "must be from 0 to 64")
+    _need(0 <= e.proxies.hollow <= 4000, "proxies.hollow", "must be from 0 to 4000")
+    _need(e.proxies.real + e.proxies.hollow > 0, "proxies", "there is none")
+    _need(min(e.proxies.per_process, e.backends.per_process) >= 1, "per_process", "must be at least 1")
+    _need(e.proxies.hollow > 0 or not e.proxies.timed, "proxies.timed", "unused: no proxy is hollow")
+    _need(e.backends.services > 1 or e.backends.fanout == 1, "backends.fanout", "unused: one service")
+    _need(0 <= e.callers.rate_per_s <= 50_000, "callers.rate_per_s", "must be from 0 to 50,000")
+    _need(1 <= e.callers.processes <= 32, "callers.processes", "must be from 1 to 32")
+    _need(e.callers.rate_per_s > 0 or not e.callers.mix, "callers.mix", "unused: no calls are made")
+    classes = {cls.name for cls in e.module_settings().classes}
+    for name, share in e.callers.mix.items():
+        _need(name in classes, f"callers.mix.{name}", "no such class in the settings")
+        _need(share >= 0, f"callers.mix.{name}", "must not be below 0")
+    _need(not e.callers.mix or sum(e.callers.mix.values()) > 0, "callers.mix", "the shares add up to 0")
+    for number, trouble in enumerate(e.troubles):
+        _check_trouble(e, trouble, f"troubles[{number}]")
+    return e
+
+
+def _check_trouble(e: Experiment, trouble: Trouble, path: str) -> None:
+    _need(0 <= trouble.at_s < e.duration_s, f"{path}.at_s", "unused: the run is over by then")
+    if isinstance(trouble, ZoneLoss):
+        _need(trouble.zone in e.backends.zones, f"{path}.zone", f"no such zone: {trouble.zone}")
+    if isinstance(trouble, RegionCut):
+        _need(len(e.regions) > 1, f"{path}.kind", "unused: there is one region")
+    if isinstance(trouble, Restarts | Crash):
+        _need(1 <= trouble.count <= e.backends.count, f"{path}.count", "must be from 1 to backends.count")
+    if isinstance(trouble, Change):
+        _need(1 <= trouble.entries <= e.backends.count, f"{path}.entries", "must be from 1 to backends.count")
+        _need(trouble.times >= 1 and trouble.every_s > 0, f"{path}.times", "must be at least 1")
+
+
+def parse(text: str | bytes) -> Experiment:
+    """Raises ExperimentError."""
+    try:
+        return check(msgspec.toml.decode(text, type=Experiment))
+    except (msgspec.ValidationError, msgspec.DecodeError, UnicodeDecodeError) as fault:
+        raise ExperimentError(" ".join(str(fault).split())) from None
+
+
+def load(path: Path) -> Experiment:
+    """Raises ExperimentError, which names the file."""
+    try:
+        return parse(path.read_bytes())
+    except (OSError, ExperimentError) as fault:
+        raise ExperimentError(f"{path}: {fault}") from None
--- /dev/null
+++ b/granitepoint/fleet/plan.py
@@ -0,0 +1,101 @@
+"""Who is where: names, zones and loopback addresses of all that an experiment starts."""
+
+from __future__ import annotations
+
+import zlib
+
+import msgspec
+
+from granitepoint.fleet.experiment import Experiment
+
+BACKENDS, PROXIES, REAL, DESKS = 20, 40, 60, 70  # second figure of the loopback addresses
+HOST_SPAN = 250 * 250
+
+
+class BackendPlan(msgspec.Struct):
+    name: str
+    service: int
+    zone: str
+    cell: int
+    hosts: list[str]  # one for the callers of each region
+
+
+class ProxyPlan(msgspec.Struct):
+    name: str
+    service: int  # that it sends to
+    zone: str
+    region: int
+    host: str
+    me: int
+    balancers: int
+    seed: int
+    real: bool = False
+    of_backend: str = ""  # whose only client it has; none: a proxy of the first tier
+
+
+class Plan(msgspec.Struct):
+    backends: list[BackendPlan]
+    proxies: list[ProxyPlan]
+
+
+def host(block: int, number: int) -> str:
+    """A loopback address of its own for each number."""
+    number, low = divmod(number, 250)
+    high, middle = divmod(number, 250)
+    return f"127.{block + high}.{middle}.{low + 1}"
+
+
+def derive(seed: int, *names: object) -> int:
+    """A seed for one part, the same in every run of the same experiment."""
+    return zlib.crc32(" ".join(map(str, (seed, *names))).encode())
+
+
+def make_plan(experiment: Experiment) -> Plan:
+    sizes, zones = experiment.backends, experiment.backends.zones
+    backends = []
+    regions = len(experiment.regions)
+    for number in range(sizes.count * sizes.services):
+        service, place = divmod(number, sizes.count)
+        zone = zones[place % len(zones)]
+        hosts = [host(BACKENDS, number * regions + region) for region in range(regions)]
+        backends.append(BackendPlan(f"b{service}-{place}", service, zone, place // len(zones) // 3, hosts))
+    proxies: list[ProxyPlan] = []
+    first = experiment.proxies.real + experiment.proxies.hollow
+    for number in range(first):
+        zone = zones[number % len(zones)]
+        real = number < experiment.proxies.real
+        proxies.append(_proxy(experiment, f"n0-{number}", 0, zone, number, first, len(proxies), real=real))
+    for backend in backends:
+        if backend.service + 1 < sizes.services:
+            place = int(backend.name.rpartition("-")[2])
+            name = f"n{backend.service + 1}-{place}"
+            proxies.append(
+                _proxy(experiment, name, backend.service + 1, backend.zone, place, sizes.count, len(proxies),
+                       of_backend=backend.name)
+            )  # fmt: skip
+    return Plan(backends, proxies)
+
+
+def _proxy(
+    experiment: Experiment,
+    name: str,
+    service: int,
+    zone: str,
+    me: int,
+    balancers: int,
+    number: int,
+    real: bool = False,
+    of_backend: str = "",
+) -> ProxyPlan:
+    return ProxyPlan(
+        name=name,
+        service=service,
+        zone=zone,
+        region=experiment.region_of(zone),
+        host=host(REAL if real else PROXIES, number),
+        me=me,
+        balancers=balancers,
+        seed=derive(experiment.seed, name),
+        real=real,
+        of_backend=of_backend,
+    )
--- /dev/null
+++ b/granitepoint/fleet/worker.py
@@ -0,0 +1,546 @@
+"""One process of a fleet: holds many stand-ins of one role, and does what the run tells it, line by line.
+
+Standard input: the role, then commands; standard output: an answer to each. It ends with its input, so that
+nothing outlives the run that started it, and after LONGEST_LIFE whatever happens.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import json
+import logging
+import os
+import signal
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import numpy as np
+import uvloop
+
+from granitepoint.benchlink import read_settings
+from granitepoint.fleet import backends as hollow_backends
+from granitepoint.fleet.callers import Callers, Front, Place, call_below, places
+from granitepoint.fleet.discovery import Book, Counts, Discovery, Endpoint
+from granitepoint.fleet.experiment import Experiment
+from granitepoint.fleet.measure import Histogram
+from granitepoint.fleet.plan import BackendPlan, ProxyPlan, derive
+from granitepoint.fleet.proxies import Hollow, Stages
+from granitepoint.fleet.wire import Listener, Message, split_address
+from granitepoint.net.config import Config, flatten
+
+LONGEST_LIFE = 900.0  # s
+
+
+class BackendsSpec(msgspec.Struct, tag="backends"):
+    experiment: Experiment
+    seed: int
+    backends: list[BackendPlan]
+
+
+class DeskPlan(msgspec.Struct):
+    """Where one proxy asks."""
+
+    name: str
+    service: int
+    zone: str
+    region: int
+    host: str
+
+
+class DiscoverySpec(msgspec.Struct, tag="discovery"):
+    experiment: Experiment
+    lists: list[list[Endpoint]]  # of each service
+    addresses: dict[str, list[str]]  # of each backend, by region
+    desks: list[DeskPlan]
+
+
+class ProxiesSpec(msgspec.Struct, tag="proxies"):
+    experiment: Experiment
+    proxies: list[ProxyPlan]
+    discovery: dict[str, str]  # where each asks
+    known: dict[str, dict[str, Any]]  # by "service region"
+
+
+class ProgramsSpec(msgspec.Struct, tag="programs"):
+    """Real proxies: the program itself, each a process."""
+
+    experiment: Experiment
+    proxies: list[ProxyPlan]
+    discovery: dict[str, str]
+    known: dict[str, dict[str, Any]]
+    folder: str
+
+
+class CallersSpec(msgspec.Struct, tag="callers"):
+    experiment: Experiment
+    seed: int
+    proxies: dict[str, str]
+    zones: dict[str, str]
+
+
+Spec = BackendsSpec | DiscoverySpec | ProxiesSpec | ProgramsSpec | CallersSpec
+
+
+class Command(msgspec.Struct):
+    number: int  # of the order; its reply has the same
+    do: str
+    names: list[str] = []
+    args: dict[str, Any] = {}
+
+
+class Reply(msgspec.Struct):
+    number: int = 0  # 0: it has started
+    told: dict[str, Any] = {}
+    error: str = ""
+
+
+class Role:
+    """`start` makes all ready; `do_X` carries out command X. Both answer with what the run needs to know."""
+
+    async def start(self) -> dict[str, Any]:
+        raise NotImplementedError
+
+    async def do_mark(self, command: Command) -> dict[str, Any]:
+        """The measured time begins."""
+        return {}
+
+    async def do_figures(self, command: Command) -> dict[str, Any]:
+        return {}
+
+    async def end(self) -> None:
+        pass
+
+
+class BackendsRole(Role):
+    def __init__(self, spec: BackendsSpec) -> None:
+        self.spec = spec
+        sizes = spec.experiment.backends
+        settings = spec.experiment.module_settings()
+        self.classes = {cls.name: cls for cls in settings.classes}
+        self.fronts: dict[str, Front] = {}
+        self.calls_below = 0
+        fails = np.random.default_rng(derive(spec.seed, "fails"))
+        draws = iter(lambda: float(fails.random()), None)
+        times = hollow_backends.draw_times(sizes, derive(spec.seed, "times"))
+        last = sizes.services - 1
+        self.backends = {
+            plan.name: hollow_backends.Backend(
+                plan.name, plan.zone, plan.hosts, sizes, settings, times, draws,
+                self._inner if plan.service < last else None,
+            )
+            for plan in spec.backends
+        }  # fmt: skip
+        self.services = {plan.name: plan.service for plan in spec.backends}
+        self.sweep: asyncio.Task[None] | None = None
+
+    async def start(self) -> dict[str, Any]:
+        for backend in self.backends.values():
+            backend.start()
+        self.sweep = asyncio.create_task(hollow_backends.sweep_idle(list(self.backends.values())))
+        return {name: [at.address for at in backend.listeners] for name, backend in self.backends.items()}
+
+    def _inner(self, backend: hollow_backends.Backend, message: Message) -> asyncio.Task[bool]:
+        cls = self.classes[message.target[1:].partition("?")[0].partition("/")[0]]
+        budget = message.headers.get("x-budget", "")
+        given = float(budget[:-1]) / (1e3 if budget.endswith("m") else 1e6) if budget else cls.deadline
+        self.calls_below += 1
+        call_id = f"{backend.name}-{self.calls_below}"
+        fanout = self.spec.experiment.backends.fanout
+        return asyncio.get_running_loop().create_task(
+            call_below(self.fronts[backend.name], cls, call_id, message.came + given, fanout)
+        )
+
+    async def do_wire(self, command: Command) -> dict[str, Any]:
+        """Which proxy each backend calls through."""
+        for name, address in command.args.items():
+            self.fronts[name] = Front([Place(split_address(address), "", up=True)], 0.0)
+        return {}
+
+    async def do_start(self, command: Command) -> dict[str, Any]:
+        for name in command.names:
+            self.backends[name].start(cold=True)
+        return {}
+
+    async def do_drain(self, command: Command) -> dict[str, Any]:
+        for name in command.names:
+            self.backends[name].drain()
+        return {}
+
+    async def do_stop(self, command: Command) -> dict[str, Any]:
+        for name in command.names:
+            self.backends[name].stop()
+        return {}
+
+    def _listeners(self, command: Command) -> list[Listener]:
+        """Of the named backends, those for the callers of the given regions."""
+        regions = command.args.get("regions")
+        return [
+            listener
+            for name in command.names
+            for region, listener in enumerate(self.backends[name].listeners)
+            if regions is None or region in regions
+        ]
+
+    async def do_cut(self, command: Command) -> dict[str, Any]:
+        for listener in self._listeners(command):
+            listener.cut()
+        return {}
+
+    async def do_heal(self, command: Command) -> dict[str, Any]:
+        for listener in self._listeners(command):
+            listener.heal()
+        return {}
+
+    async def do_mark(self, command: Command) -> dict[str, Any]:
+        for backend in self.backends.values():
+            backend.counts.clear()
+        return {}
+
+    async def do_figures(self, command: Command) -> dict[str, Any]:
+        counts: dict[int, Counter[str]] = {}
+        for name, backend in self.backends.items():
+            counts.setdefault(self.services[name], Counter()).update(backend.counts)
+        return {str(service): dict(count) for service, count in counts.items()}
+
+    async def end(self) -> None:
+        if self.sweep is not None:
+            self.sweep.cancel()
+
+
+class DiscoveryRole(Role):
+    def __init__(self, spec: DiscoverySpec) -> None:
+        self.spec = spec
+        self.discovery = Discovery(spec.experiment.discovery)
+        for entries in spec.lists:
+            book = Book(spec.experiment.discovery.kept_changes)
+            for entry in entries:
+                book.add(entry, spec.addresses[entry.name])
+            self.discovery.books.append(book)
+        self.bytes_before: dict[str, tuple[int, int]] = {}
+        self.busy_before = 0.0
+
+    async def start(self) -> dict[str, Any]:
+        desks = [
+            self.discovery.add_desk(plan.name, plan.service, plan.zone, plan.region, plan.host)
+            for plan in self.spec.desks
+        ]
+        known = {
+            f"{service} {region}": msgspec.json.decode(book.answer(None, region)[0])
+            for service, book in enumerate(self.discovery.books)
+            for region in range(len(self.spec.experiment.regions))
+        }
+        return {"desks": {desk.name: desk.listener.address for desk in desks}, "known": known}
+
+    async def do_change(self, command: Command) -> dict[str, Any]:
+        args = command.args
+        version = self.discovery.change(
+            args["service"], command.names, args.get("status", ""), args.get("weight", 0.0),
+            args.get("since_ms", 0),
+        )  # fmt: skip
+        return {"version": version, "at": time.monotonic()}
+
+    async def do_down(self, command: Command) -> dict[str, Any]:
+        self.discovery.down()
+        return {}
+
+    async def do_up(self, command: Command) -> dict[str, Any]:
+        self.discovery.up()
+        return {"at": time.monotonic()}
+
+    async def do_cut(self, command: Command) -> dict[str, Any]:
+        self.discovery.cut(command.names)
+        return {}
+
+    async def do_heal(self, command: Command) -> dict[str, Any]:
+        self.discovery.heal()
+        return {"at": time.monotonic()}
+
+    async def do_mark(self, command: Command) -> dict[str, Any]:
+        discovery = self.discovery
+        discovery.timeline.clear()
+        discovery.began = time.monotonic()
+        self.busy_before = discovery.turns.busy
+        for name, desk in discovery.desks.items():
+            desk.counts = Counts()
+            self.bytes_before[name] = desk.listener.bytes_in, desk.listener.bytes_out
+        return {}
+
+    async def do_figures(self, command: Command) -> dict[str, Any]:
+        discovery = self.discovery
+        names = ("calls", "whole_lists", "changes", "empty", "entries", "refused", "watches_begun", "renewed")
+        sums = Counter({name: 0 for name in names})
+        most = ins = outs = 0
+        for name, desk in discovery.desks.items():
+            for count in names:
+                sums[count] += getattr(desk.counts, count)
+            before = self.bytes_before.get(name, (0, 0))
+            came, went = desk.listener.bytes_in - before[0], desk.listener.bytes_out - before[1]
+            ins, outs, most = ins + came, outs + went, max(most, came + went)
+        return {
+            **sums,
+            "desks": len(discovery.desks),
+            "bytes_in": ins,
+            "bytes_out": outs,
+            "most_bytes_of_one": most,
+            "busy_s": discovery.turns.busy - self.busy_before,
+            "calls_by_100ms": {str(slot): count for slot, count in sorted(discovery.timeline.items())},
+            "told": {name: desk.counts.told for name, desk in discovery.desks.items()},
+        }
+
+
+def proxy_settings(experiment: Experiment, plan: ProxyPlan) -> dict[str, Any]:
+    """The settings object that this proxy finds in its configuration."""
+    names = [f"tier{number}" for number in range(experiment.backends.services)]
+    return {
+        **experiment.raw_settings(),
+        "me": plan.me,
+        "balancers": plan.balancers,
+        "stage": plan.service,
+        "stages": names,
+        "zone": plan.zone,
+        "dcs": experiment.backends.zones,
+    }
+
+
+class ProxiesRole(Role):
+    def __init__(self, spec: ProxiesSpec) -> None:
+        self.spec = spec
+        sizes = spec.experiment.proxies
+        self.hollow: dict[str, Hollow] = {}
+        for plan in spec.proxies:
+            config = Config(
+                name=plan.name,
+                listen=(plan.host, 0),
+                discovery=split_address(spec.discovery[plan.name]),
+                seed=plan.seed,
+                sockets=sizes.sockets,
+                memory_mb=sizes.memory_mb,
+                known=spec.known[f"{plan.service} {plan.region}"],
+                settings=read_settings(flatten(proxy_settings(spec.experiment, plan))),
+            )
+            self.hollow[plan.name] = Hollow(config, timed=sizes.timed)
+        self.before: Counter[str] = Counter()
+
+    async def start(self) -> dict[str, Any]:
+        return {name: await proxy.start() for name, proxy in self.hollow.items()}
+
+    async def do_start(self, command: Command) -> dict[str, Any]:
+        for name in command.names:
+            await self.hollow[name].start()
+        return {}
+
+    async def do_stop(self, command: Command) -> dict[str, Any]:
+        for name in command.names:
+            self.hollow[name].end()
+        return {}
+
+    def _totals(self) -> Counter[str]:
+        totals: Counter[str] = Counter()
+        for proxy in self.hollow.values():
+            totals.update(proxy.figures()["totals"])
+        return totals
+
+    async def do_mark(self, command: Command) -> dict[str, Any]:
+        gc.collect()
+        gc.freeze()
+        self.before = self._totals()
+        for proxy in self.hollow.values():
+            if proxy.driver is not None and proxy.timed:
+                proxy.driver.stages = proxy.stages = Stages()
+        return {}
+
+    async def do_figures(self, command: Command) -> dict[str, Any]:
+        totals = self._totals()
+        totals.subtract(self.before)
+        merged: dict[str, Histogram] = {}
+        settling = 0
+        for proxy in self.hollow.values():
+            if proxy.stages is not None:
+                settling += proxy.stages.settling
+                for name, histogram in proxy.stages.histograms.items():
+                    merged.setdefault(name, Histogram()).merge(histogram)
+        figures = {name: proxy.figures() for name, proxy in self.hollow.items()}
+        return {
+            "totals": dict(totals),
+            "stages": {name: histogram.pack() for name, histogram in merged.items()},
+            "settling": settling,
+            "in_force": {name: figure["in_force"] for name, figure in figures.items()},
+            "serving": {name: figure["serving"] for name, figure in figures.items()},
+        }
+
+    async def end(self) -> None:
+        for proxy in self.hollow.values():
+            proxy.end()
+
+
+class ProgramsRole(Role):
+    def __init__(self, spec: ProgramsSpec) -> None:
+        self.spec = spec
+        self.plans = {plan.name: plan for plan in spec.proxies}
+        self.ports: dict[str, int] = {}
+        self.processes: dict[str, asyncio.subprocess.Process] = {}
+
+    async def start(self) -> dict[str, Any]:
+        import socket
+
+        for name, plan in self.plans.items():
+            with socket.socket() as probe:  # nobody else has this address, so the port stays free
+                probe.bind((plan.host, 0))
+                self.ports[name] = probe.getsockname()[1]
+            await self._launch(name)
+        return self._told()
+
+    def _told(self) -> dict[str, Any]:
+        return {
+            "addresses": {name: f"{plan.host}:{self.ports[name]}" for name, plan in self.plans.items()},
+            "pids": {name: process.pid for name, process in self.processes.items()},
+        }
+
+    async def _launch(self, name: str) -> None:
+        plan, sizes = self.plans[name], self.spec.experiment.proxies
+        listen = f"{plan.host}:{self.ports[name]}"
+        raw = {
+            "name": name,
+            "listen": listen,
+            "discovery": self.spec.discovery[name],
+            "seed": f"{plan.seed:x}",
+            "limits": {"cores": 1.0, "memory_mb": sizes.memory_mb, "sockets": sizes.sockets},
+            "known": self.spec.known[f"{plan.service} {plan.region}"],
+            "settings": proxy_settings(self.spec.experiment, plan),
+        }
+        folder = Path(self.spec.folder)
+        path = folder / f"{name}.json"
+        path.write_text(json.dumps(raw), encoding="utf-8")
+        environ = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
+        environ["EDGE_CONFIG"] = str(path)
+        with (folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "granitepoint", env=environ, stdin=asyncio.subprocess.DEVNULL,
+                stdout=log, stderr=log,
+            )  # fmt: skip
+
+    async def do_start(self, command: Command) -> dict[str, Any]:
+        for name in command.names:
+            await self._launch(name)
+        return self._told()
+
+    async def do_stop(self, command: Command) -> dict[str, Any]:
+        for name in command.names:
+            self.processes[name].kill()
+            await self.processes[name].wait()
+        return {}
+
+    async def do_figures(self, command: Command) -> dict[str, Any]:
+        return {"ended": [name for name, process in self.processes.items() if process.returncode is not None]}
+
+    async def end(self) -> None:
+        for process in self.processes.values():
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()  # all is measured by now, so nothing is to be answered any more
+            await process.wait()
+
+
+class CallersRole(Role):
+    def __init__(self, spec: CallersSpec) -> None:
+        self.spec = spec
+        sizes = spec.experiment.callers
+        self.front = Front(places(spec.proxies, spec.zones), sizes.notice_s)
+        settings = spec.experiment.module_settings()
+        self.callers = Callers(
+            self.front,
+            settings.classes,
+            sizes.mix,
+            spec.experiment.backends.zones,
+            sizes.retries,
+            sizes.retry_wait_s,
+            spec.seed,
+        )
+        self.tasks: list[asyncio.Task[None]] = []
+        self.planned = 0
+
+    async def start(self) -> dict[str, Any]:
+        await self.front.until_ready()
+        return {}
+
+    async def do_call(self, command: Command) -> dict[str, Any]:
+        """From `begin` to `end`, of which what is planned from `mark` on is counted."""
+        args = command.args
+        self.callers.counting_from = args["mark"]
+        if args["rate"] > 0:
+            self.tasks.append(asyncio.create_task(self.front.keep_looking()))
+            run = self.callers.run(args["rate"], args["begin"], args["end"])
+            self.tasks.append(asyncio.create_task(run))
+        return {}
+
+    async def do_figures(self, command: Command) -> dict[str, Any]:
+        for task in self.tasks[1:]:
+            if not command.args.get("now"):
+                await task
+        tally = self.callers.tally
+        return {
+            "tries": tally.sent,
+            "by_second": {str(second): dict(counts) for second, counts in tally.by_second.items()},
+            "by_zone": dict(tally.by_zone),
+            "latency": {name: histogram.pack() for name, histogram in tally.latency.items()},
+            "added": tally.added.pack(),
+            "late_sends": tally.late_sends.pack(),
+            "looks": self.front.looks,
+        }
+
+    async def end(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+
+
+ROLES: dict[type, type[Any]] = {
+    BackendsSpec: BackendsRole,
+    DiscoverySpec: DiscoveryRole,
+    ProxiesSpec: ProxiesRole,
+    ProgramsSpec: ProgramsRole,
+    CallersSpec: CallersRole,
+}
+
+
+async def serve() -> None:
+    loop = asyncio.get_running_loop()
+    reader = asyncio.StreamReader(limit=1 << 28)
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+
+    def say(reply: Reply) -> None:
+        sys.stdout.buffer.write(msgspec.json.encode(reply) + b"\n")
+        sys.stdout.buffer.flush()
+
+    spec: Spec = msgspec.json.decode(await reader.readline(), type=Spec)
+    role: Role = ROLES[type(spec)](spec)
+    try:
+        say(Reply(told=await role.start()))
+        while line := await reader.readline():
+            command: Command = msgspec.json.decode(line, type=Command)
+            try:
+                say(Reply(command.number, await getattr(role, f"do_{command.do}")(command)))
+            except Exception as fault:
+                say(Reply(command.number, error=f"{command.do}: {fault!r}"))
+    finally:
+        await role.end()
+
+
+async def bounded() -> None:
+    async with asyncio.timeout(LONGEST_LIFE):
+        await serve()
+
+
+def main() -> int:
+    signal.signal(signal.SIGINT, signal.SIG_IGN)  # the run decides when this ends
+    logging.basicConfig(stream=sys.stderr, level=logging.ERROR)
+    asyncio.Runner(loop_factory=uvloop.new_event_loop).run(bounded())
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/tests/test_fleet_files.py
@@ -0,0 +1,194 @@
+"""Experiment files, results and the straight lines."""
+
+from __future__ import annotations
+
+import re
+from pathlib import Path
+
+import msgspec
+import pytest
+
+from granitepoint.fleet import results, slopes
+from granitepoint.fleet.__main__ import app
+from granitepoint.fleet.experiment import Experiment, ExperimentError, check, load, parse
+from granitepoint.fleet.fit import fit_line, fit_plane
+from granitepoint.fleet.measure import Histogram
+from granitepoint.fleet.plan import make_plan
+from granitepoint.fleet.troubles import Landmark, in_force_after
+
+ROOT = Path(__file__).parent.parent
+FIRST = 'name = "x"\nseed = 1\nduration_s = 5.0\n'
+
+
+@pytest.mark.parametrize("path", sorted((ROOT / "experiments").rglob("*.toml")), ids=lambda path: path.stem)
+def test_every_committed_experiment_is_read(path: Path) -> None:
+    assert load(path).name == path.stem
+
+
+@pytest.mark.parametrize(
+    ("text", "named"),
+    [
+        ("seed = 1\n", "name"),
+        (FIRST + "colour = 1\n", "colour"),
+        (FIRST + "[backends]\ncuont = 3\n", "cuont"),
+        (FIRST + "[backends]\ncount = 'many'\n", "backends.count"),
+        (FIRST + "[backends]\ncount = 0\n", "backends.count"),
+        (FIRST + "[backends]\nfanout = 2\n", "backends.fanout"),  # unused
+        (FIRST + "[backends]\nregions = [['a']]\n", "backends.regions"),
+        (FIRST + "[proxies]\ntimed = true\n", "proxies.timed"),  # unused
+        (FIRST + "[proxies]\nreal = 0\n", "proxies"),
+        (FIRST + "[callers]\nmix = { raed = 1.0 }\n", "callers.mix.raed"),
+        (FIRST + "[callers]\nrate_per_s = 0\nmix = { read = 1.0 }\n", "callers.mix"),  # unused
+        (FIRST + "[settings]\nquantom = 0.1\n", "settings.quantom"),
+        (FIRST + "[settings.contract]\nclod = 1.0\n", "settings.contract.clod"),
+        (FIRST + "[settings]\nquantum = -1.0\n", "quantum"),
+        (FIRST + "[[troubles]]\nkind = 'fire'\nat_s = 1.0\n", "fire"),
+        (FIRST + "[[troubles]]\nkind = 'change'\nat_s = 1.0\nfor_s = 2.0\n", "for_s"),  # unused
+        (FIRST + "[[troubles]]\nkind = 'change'\nat_s = 9.0\n", "troubles[0].at_s"),
+        (
+            FIRST + "[[troubles]]\nkind = 'zone_loss'\nat_s = 1.0\nfor_s = 2.0\nzone = 'q'\n",
+            "troubles[0].zone",
+        ),
+        (FIRST + "[[troubles]]\nkind = 'region_cut'\nat_s = 1.0\nfor_s = 2.0\n", "troubles[0].kind"),
+        (FIRST + "[[troubles]]\nkind = 'crash'\nat_s = 1.0\nfor_s = 2.0\ncount = 99\n", "troubles[0].count"),
+        ("name = ", "Invalid value"),
+    ],
+)
+def test_a_bad_file_is_one_clear_error_that_names_the_key(
+    text: str, named: str, tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    path = tmp_path / "bad.toml"
+    path.write_text(text)
+    assert app(["run", str(path), "--out", str(tmp_path)], result_action="return_value") == 2
+    said = capsys.readouterr().err
+    assert named in said and str(path) in said and said.count("\n") == 1
+    with pytest.raises(ExperimentError):
+        parse(text)
+
+
+def test_a_file_that_is_not_there_or_a_series_that_is_not_known_is_an_error(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    assert app(["run", "nowhere.toml", "--out", str(tmp_path)], result_action="return_value") == 2
+    assert app(["slopes", "--out", str(tmp_path), "--only", "colours"], result_action="return_value") == 2
+    assert re.search(r"nowhere\.toml.*\n.*colours", capsys.readouterr().err)
+
+
+def test_a_plan_gives_each_its_own_loopback_address_and_each_backend_of_a_chain_its_proxy() -> None:
+    text = '[backends]\ncount = 300\nservices = 3\nzones = ["a", "b", "c"]\nregions = [["a", "b"], ["c"]]\n'
+    plan = make_plan(parse(FIRST + text + "[proxies]\nreal = 2\nhollow = 5\n"))
+    hosts = [host for backend in plan.backends for host in backend.hosts]
+    hosts += [proxy.host for proxy in plan.proxies]
+    assert len(set(hosts)) == len(hosts) == 2 * 900 + 7 + 600
+    assert all(host.startswith("127.") and max(map(int, host.split("."))) < 256 for host in hosts)
+    owners = [proxy for proxy in plan.proxies if proxy.of_backend]
+    assert {proxy.service for proxy in owners} == {1, 2} and len({p.of_backend for p in owners}) == 600
+    assert {proxy.region for proxy in plan.proxies if proxy.zone == "c"} == {1}
+
+
+def test_results_come_back_as_written_and_a_spoilt_line_is_named(tmp_path: Path) -> None:
+    path = tmp_path / "deep" / "r.jsonl"
+    writer = results.Writer(path)
+    records: list[results.AnyRecord] = [
+        results.Event(at_s=1.5, what="a change", figures={"told": 3}),
+        results.Process(
+            role="proxy", name="n", pid=1, holds=1, span_s=2.0, cpu_s=0.5, memory_begin=1, memory_end=2
+        ),
+        results.End(complete=False, why="interrupted"),
+    ]
+    for record in records:
+        writer.write(record)
+    assert results.read(path) == records  # also before it is closed
+    writer.close()
+    assert results.only(records, results.Process).cores == 0.25
+    with pytest.raises(results.ResultsError, match="0 records of kind calls"):
+        results.only(records, results.Calls)
+    path.write_bytes(path.read_bytes() + b'{"type":"process"}\n')
+    with pytest.raises(results.ResultsError, match=r"r\.jsonl:4: .*role"):
+        results.read(path)
+
+
+def test_histograms_are_merged_and_packed_without_loss() -> None:
+    one, two = Histogram(), Histogram()
+    for number in range(1, 1001):
+        (one if number % 2 else two).add(number / 1000)
+    two.merge(Histogram(one.pack()))
+    assert two.count == 1000 and two.at(99) == pytest.approx(0.99, rel=2e-3)
+    assert two.summary()["p50_ms"] == pytest.approx(500, rel=2e-3)
+    assert Histogram().summary()["p99_ms"] == 0.0
+
+
+def test_a_line_through_points_has_its_slope_base_and_residual() -> None:
+    line = fit_line([(110, 12.0), (220, 23.0), (440, 45.0), (880, 89.0)])
+    assert [line.slope, line.base] == pytest.approx([0.1, 1.0])
+    assert line.residual == pytest.approx(0.0, abs=1e-9) and line.at(1000) == pytest.approx(101.0)
+    bent = fit_line([(0, 0.0), (1, 1.0), (2, 0.0), (3, 1.0)])
+    assert bent.slope == pytest.approx(0.2) and bent.residual == pytest.approx(0.2**0.5)
+    assert bent.residual_share == pytest.approx(0.2**0.5)
+    with pytest.raises(ValueError, match="two sizes"):
+        fit_line([(1, 1.0), (1, 2.0)])
+
+
+def test_the_costs_of_calls_and_probes_are_told_apart() -> None:
+    rows = [(1.0, float(rate), probes) for rate, probes in ((10, 0.5), (10, 20.0), (40, 2.0), (40, 90.0))]
+    weights, residual = fit_plane(rows, [0.01 + 0.001 * rate + 0.0002 * probes for _, rate, probes in rows])
+    assert weights == pytest.approx([0.01, 0.001, 0.0002]) and residual == pytest.approx(0.0, abs=1e-9)
+    with pytest.raises(ValueError, match="apart"):
+        fit_plane([(1.0, 2.0), (2.0, 4.0)], [1.0, 2.0])
+
+
+@pytest.mark.parametrize("name", [name for name, make in slopes.SERIES.items() if make is not None])
+def test_every_series_has_four_sizes_of_a_valid_experiment(name: str) -> None:
+    make = slopes.SERIES[name]
+    assert make is not None
+    series = make()
+    assert len({size for size, _ in series.sizes}) >= 4
+    for _, experiment in series.sizes:
+        plain = msgspec.to_builtins(experiment)
+        assert check(experiment) == msgspec.convert(plain, Experiment)
+    names = [experiment.name for _, experiment in series.sizes]
+    assert len(set(names)) == len(names)
+
+
+def test_a_series_is_run_read_and_fitted(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    def fake(experiment: Experiment, path: Path) -> bool:
+        writer = results.Writer(path)
+        rate = experiment.callers.rate_per_s
+        spent = 0.1 + rate / 100
+        writer.write(
+            results.Process(
+                role="proxy", name="n", pid=1, holds=1, span_s=10.0, cpu_s=spent, memory_begin=1, memory_end=2
+            )
+        )
+        figures = {"p50_ms": 1.0, "p99_ms": 2.0, "p99.9_ms": 3.0}
+        writer.write(
+            results.Calls(
+                planned=1, tries=1, outcomes={}, by_zone={}, worst_second={}, latency={}, added=figures,
+                late_sends=figures, by_second=[],
+            )
+        )  # fmt: skip
+        writer.close()
+        return True
+
+    monkeypatch.setattr(slopes, "run", fake)
+    assert slopes.run_series("rate", tmp_path, lambda text, share: None)
+    lines = {line.figure: line for line in slopes.read_lines(tmp_path)}
+    assert lines["cores of a real proxy"].slope == pytest.approx(0.001)
+    assert lines["cores of a real proxy"].base == pytest.approx(0.01)
+    assert lines["added by a real proxy, 99"].points[0] == (10.0, 2.0)
+    monkeypatch.setattr(slopes, "run", lambda experiment, path: False)  # interrupted
+    assert not slopes.run_series("depth", tmp_path, lambda text, share: None)
+    assert not (tmp_path / "lines-depth.jsonl").exists()
+
+
+def test_state_is_counted_for_each_backend_call_and_id(tmp_path: Path) -> None:
+    assert slopes.run_series("state", tmp_path, lambda text, share: None)
+    lines = slopes.read_lines(tmp_path)
+    assert [line.per for line in lines] == ["backend", "open call", "remembered id"]
+    assert all(50 < line.slope < 20_000 for line in lines)
+
+
+def test_a_change_is_in_force_with_the_first_list_of_its_version_or_a_later_one() -> None:
+    mark = Landmark("change", 0, version=5, since=100.0, zones=frozenset("a"))
+    assert in_force_after(mark, {4: 99.0, 6: 100.5, 7: 101.0}) == 0.5
+    assert in_force_after(mark, {5: 99.9}) == 0.0 and in_force_after(mark, {4: 101.0}) is None
