Keep a change of many entries whole, and spread troubles over all services

It keeps versions now, each with all its names.

Changes and restarts met only the first service's backends, so that 350 restarts among 24 services of 37 could not be asked for: they go round all services now. A change counts for a proxy that was down at the time from its own start; real proxies, which are measured, do not restart with them. The bytes of probes and the front's looks at /healthz are counted, since a proxy's 6 KB a second for control pay for them.

--- a/granitepoint/fleet/backends.py
+++ b/granitepoint/fleet/backends.py
@@ -107,7 +107,7 @@
     def asked(self, peer: Peer, message: Message) -> None:
         path = message.target.partition("?")[0]
         if path in ("/load", "/healthz") and self.settings.may_probe:
-            self._probed(peer, path)
+            self._probed(peer, path, message.size)
         elif not message.headers.get("x-call-id"):
             peer.answer(404)
         elif self.draining:
@@ -119,13 +119,15 @@
         else:
             self._take(peer, message)
 
-    def _probed(self, peer: Peer, path: str) -> None:
+    def _probed(self, peer: Peer, path: str, size: int) -> None:
         self.counts["probes"] += 1
+        before = peer.listener.bytes_out
         if path == "/load" and self.settings.reports == "none":
             peer.answer(404)
-            return
-        report = f"inflight={self.running + len(self.waiting)},queue={len(self.waiting)}".encode()
-        peer.answer(503 if self.draining else 200, report if path == "/load" else b"ok\n")
+        else:
+            report = f"inflight={self.running + len(self.waiting)},queue={len(self.waiting)}".encode()
+            peer.answer(503 if self.draining else 200, report if path == "/load" else b"ok\n")
+        self.counts["probe bytes"] += size + peer.listener.bytes_out - before
 
     def _turn_away(self, peer: Peer, why: str) -> None:
         self.counts[f"turned away: {why}"] += 1
--- a/granitepoint/fleet/discovery.py
+++ b/granitepoint/fleet/discovery.py
@@ -43,7 +43,7 @@
         self.version = first_version
         self.entries: dict[str, Endpoint] = {}
         self.addresses: dict[str, list[str]] = {}  # by region
-        self.log: deque[tuple[int, str]] = deque(maxlen=kept_changes)
+        self.log: deque[tuple[int, list[str]]] = deque(maxlen=kept_changes)
         self.gone: dict[str, Endpoint] = {}
         self.made_at: dict[int, float] = {}  # monotonic, of each version
         self.encoded: dict[tuple[int, int], bytes] = {}  # of the present version
@@ -57,7 +57,9 @@
         self.version += 1
         self.encoded.clear()
         self.made_at[self.version] = time.monotonic()
-        for name in names:
+        changed = list(names)
+        self.log.append((self.version, changed))
+        for name in changed:
             entry = self.entries.get(name) or self.gone.pop(name)
             entry.status = status or entry.status
             entry.weight = weight or entry.weight
@@ -67,7 +69,6 @@
                 self.entries.pop(name, None)
             else:
                 self.entries[name] = entry
-            self.log.append((self.version, name))
         return self.version
 
     def knows(self, version: int) -> bool:
@@ -84,7 +85,9 @@
         if whole:
             entries = list(self.entries.values())
         else:
-            names = dict.fromkeys(name for made, name in self.log if made > (version or 0))
+            names = dict.fromkeys(
+                name for made, changed in self.log if made > (version or 0) for name in changed
+            )
             entries = [self.entries.get(name) or self.gone[name] for name in names]
         if key not in self.encoded:
             told = [
--- a/granitepoint/fleet/proxies.py
+++ b/granitepoint/fleet/proxies.py
@@ -228,12 +228,14 @@
     server: HollowServer | None = None
     stages: Stages | None = None
     in_force: dict[int, float] = field(default_factory=dict)
+    starts: list[float] = field(default_factory=list)  # monotonic, of each life
     totals: dict[str, int] = field(default_factory=dict)
 
     async def start(self) -> str:
         """Its address; the same in each of its lives."""
         if self.timed and self.stages is None:
             self.stages = Stages()
+        self.starts.append(time.monotonic())
         self.driver = HollowDriver(self.config, self.stages)
         self.server = HollowServer(
             self.driver.effects, self.driver, self.config.sockets, self.config.memory_mb
@@ -270,6 +272,7 @@
         return {
             "totals": totals,
             "in_force": in_force,
+            "starts": self.starts,
             "version": driver.discovery.version if driver is not None else None,
             "serving": len(driver.balancer.servers.pool) if driver is not None else 0,
         }
--- a/granitepoint/fleet/results.py
+++ b/granitepoint/fleet/results.py
@@ -50,6 +50,7 @@
     latency: dict[str, dict[str, float]]  # from the planned send, by class
     added: dict[str, float]  # beyond the backend's own time, first tries
     late_sends: dict[str, float]  # the callers' own lateness
+    front_looks: int  # at /healthz
     by_second: list[dict[str, int]]
 
 
--- a/granitepoint/fleet/run.py
+++ b/granitepoint/fleet/run.py
@@ -123,7 +123,8 @@
         await self._write_programs(fleet)
         self._write_backends(fleet, await fleet.all("backends", "figures"))
         in_force = {name: times for one in proxies for name, times in one["in_force"].items()}
-        self._write_landmarks(fleet, told, in_force)
+        starts = {name: times for one in proxies for name, times in one["starts"].items()}
+        self._write_landmarks(fleet, told, in_force, starts)
         patience = max(cls.deadline for cls in self.experiment.module_settings().classes) + TAIL
         callers = await fleet.all("callers", "figures", patience=patience, now=now)
         if self.experiment.callers.rate_per_s > 0:
@@ -177,7 +178,9 @@
             holds = sum(plan.service == service for plan in fleet.plan.backends)
             self.writer.write(results.Backends(service=service, holds=holds, counts=dict(counts)))
 
-    def _write_landmarks(self, fleet: Fleet, told: dict[str, Any], in_force: dict[str, Any]) -> None:
+    def _write_landmarks(
+        self, fleet: Fleet, told: dict[str, Any], in_force: dict[str, Any], starts: dict[str, Any]
+    ) -> None:
         """For each kind of change, over its versions: until the last proxy had it, and how many never had."""
         written = {name: {int(version): at for version, at in times.items()} for name, times in told.items()}
         taken = {
@@ -197,7 +200,7 @@
                     if plan.service != landmark.service or plan.zone not in landmark.zones:
                         continue
                     times = taken[name] if name in taken else written[name]
-                    after = in_force_after(landmark, times)
+                    after = in_force_after(landmark, times, starts.get(name, ()))
                     if after is None:
                         missing += 1
                     else:
@@ -248,6 +251,7 @@
                 latency={name: histogram.summary() for name, histogram in latency.items()},
                 added=added.summary(),
                 late_sends=late.summary(),
+                front_looks=sum(one["looks"] for one in told),
                 by_second=[dict(by_second.get(second, {})) for second in range(last + 1)],
             )
         )
--- a/granitepoint/fleet/slopes.py
+++ b/granitepoint/fleet/slopes.py
@@ -112,6 +112,16 @@
     return (calls.outcomes.get("served", 0) + calls.outcomes.get("late", 0)) / max(1, calls.planned)
 
 
+def of_backends(count: str) -> Callable[[Records], float]:
+    """A count of the backends, a second."""
+
+    def read(records: Records) -> float:
+        span = results.only(records, results.Control).span_s
+        return sum(one.counts.get(count, 0) for one in records if isinstance(one, results.Backends)) / span
+
+    return read
+
+
 BYTES_EACH = control(lambda c: (c.bytes_in + c.bytes_out) / c.span_s / c.desks)
 CALLS_EACH = control(lambda c: c.calls / c.span_s / c.desks)
 
@@ -175,6 +185,9 @@
         figures={
             "cores of a real proxy": ("cores", cores_each("proxy")),
             "memory of a real proxy": ("bytes", memory_each("proxy")),
+            "probes": ("1/s", of_backends("probes")),
+            "bytes of probes": ("bytes/s", of_backends("probe bytes")),
+            "new connections to backends": ("1/s", of_backends("connections")),
             "callers' own lateness, 99": ("ms", calls(lambda c: c.late_sends["p99_ms"])),
             **added,
         },
--- a/granitepoint/fleet/troubles.py
+++ b/granitepoint/fleet/troubles.py
@@ -78,8 +78,10 @@
             at = told["at"] if since is None else since
             self.landmarks.append(Landmark(label, service, told["version"], at, zones or self.every_zone))
 
-    def some(self, count: int, service: int = 0) -> list[str]:
-        return [f"b{service}-{number}" for number in range(count)]
+    def some(self, count: int) -> list[str]:
+        """Backends of all services in turn, and of each service the first."""
+        services = self.fleet.experiment.backends.services
+        return [f"b{number % services}-{number // services}" for number in range(count)]
 
     def of_zone(self, zone: str) -> tuple[list[str], list[str]]:
         """Its backends and proxies."""
@@ -90,7 +92,7 @@
     async def change(self, trouble: Change) -> None:
         for number in range(trouble.times):
             await self.until(trouble.at_s + number * trouble.every_s)
-            await self.tell_list("change", self.some(trouble.entries), weight=1.0 + (number + 1) % 2)
+            await self.tell_list("change", self.some(trouble.entries), weight=2.0 - number % 2)
 
     async def restarts(self, trouble: Restarts) -> None:
         self.note("restarts", {"count": trouble.count, "over_s": trouble.over_s})
@@ -102,8 +104,8 @@
 
     async def _restart(self, name: str, at_s: float, drain: float, down: float, proxies: bool) -> None:
         await self.until(at_s)
-        mates = [f"n0-{name.partition('-')[2]}"] if proxies else []
-        mates = [mate for mate in mates if mate in self.fleet.proxies]
+        mates = [f"n0-{name.partition('-')[2]}"] if proxies and name.startswith("b0-") else []
+        mates = [mate for mate in mates if mate in self.fleet.proxies and not self.fleet.proxies[mate].real]
         mates += [plan.name for plan in self.fleet.proxies.values() if plan.of_backend == name]
         await self.tell_list("restart: draining", [name], status="Terminating")
         await asyncio.sleep(drain)
@@ -190,7 +192,14 @@
         self.note("the regions are healed", {})
 
 
-def in_force_after(landmark: Landmark, in_force: dict[int, float]) -> float | None:
-    """Seconds until a proxy had this version or a later one; None: never."""
+def in_force_after(
+    landmark: Landmark, in_force: dict[int, float], starts: Iterable[float] = ()
+) -> float | None:
+    """Seconds until a proxy had this version or a later one, counted from its own start where it started
+    later; None: never."""
     times = [at for version, at in in_force.items() if version >= landmark.version]
-    return max(0.0, min(times) - landmark.since) if times else None
+    if not times:
+        return None
+    had = min(times)
+    since = max([landmark.since, *(start for start in starts if start <= had)])
+    return max(0.0, had - since)
--- a/granitepoint/fleet/wire.py
+++ b/granitepoint/fleet/wire.py
@@ -24,6 +24,7 @@
     headers: Headers
     body: bytes
     came: float  # monotonic, when its last byte was read
+    size: int = 0  # bytes as they came
 
 
 class Owner(Protocol):
@@ -47,6 +48,7 @@
         self.headers: Headers = {}
         self.body: list[bytes] = []
         self.taken = 0  # requests so far
+        self.raw = 0  # bytes since the last one
         self.used_at = 0.0  # monotonic, of the last byte either way
         self.silent = False
 
@@ -64,6 +66,7 @@
     def data_received(self, data: bytes) -> None:
         self.used_at = time.monotonic()
         self.listener.bytes_in += len(data)
+        self.raw += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserError:
@@ -86,7 +89,8 @@
         self.taken += 1
         method = self.parser.get_method().decode()
         target = self.target.decode("latin-1")
-        message = Message(method, target, self.headers, b"".join(self.body), self.used_at)
+        message = Message(method, target, self.headers, b"".join(self.body), self.used_at, self.raw)
+        self.raw = 0
         self.listener.owner.asked(self, message)
 
     def answer(self, code: int, body: bytes = b"", **headers: str) -> bool:
--- a/granitepoint/fleet/worker.py
+++ b/granitepoint/fleet/worker.py
@@ -371,6 +371,7 @@
             "stages": {name: histogram.pack() for name, histogram in merged.items()},
             "settling": settling,
             "in_force": {name: figure["in_force"] for name, figure in figures.items()},
+            "starts": {name: figure["starts"] for name, figure in figures.items()},
             "serving": {name: figure["serving"] for name, figure in figures.items()},
         }
 
--- a/tests/test_fleet_stand_ins.py
+++ b/tests/test_fleet_stand_ins.py
@@ -73,6 +73,12 @@
     assert json.loads(made.answer(4, 0)[0])["endpoints"][0]["since_ms"] == 5
 
 
+def test_a_change_of_many_entries_is_kept_whole() -> None:
+    made = book(entries=9, kept=2)
+    made.change([f"s-{number}" for number in range(9)], weight=2.0)
+    assert made.answer(1, 0)[1:] == (9, False)
+
+
 @pytest.mark.parametrize("version", [0, 1, 99])
 def test_who_is_too_far_behind_or_ahead_gets_the_whole_list(version: int) -> None:
     made = book(kept=2)
@@ -247,6 +253,7 @@
             made.start()
             assert (await (await connect(made.listeners[0].address)).raw(call(3))).code == 200
             assert (made.counts["served"], made.counts["probes"]) == (2, 3)
+            assert made.counts["probe bytes"] > 3 * len(GET % b"/load")
 
     run(test())
 
