--- a/granitepoint/fleet/slopes.py
+++ b/granitepoint/fleet/slopes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from functools import partial
 from pathlib import Path
 
 import msgspec
@@ -11,6 +12,7 @@
 
 from granitepoint.fleet import results, state
 from granitepoint.fleet.experiment import (
+    CLASSES,
     BackendSizes,
     CallerSizes,
     Change,
@@ -102,10 +104,15 @@
     return max(lasts, default=0.0)
 
 
-def begun_per_call(records: Records) -> float:
-    """Requests begun at the deepest service for each call planned."""
-    deepest = max((one for one in records if isinstance(one, results.Backends)), key=lambda one: one.service)
-    return deepest.counts.get("begun", 0) / max(1, results.only(records, results.Calls).planned)
+def begun_per_call(first: bool = False) -> Callable[[Records], float]:
+    """Requests begun at the deepest service, or at the first, for each call planned."""
+
+    def read(records: Records) -> float:
+        services = [one for one in records if isinstance(one, results.Backends)]
+        at = (min if first else max)(services, key=lambda one: one.service)
+        return at.counts.get("begun", 0) / max(1, results.only(records, results.Calls).planned)
+
+    return read
 
 
 def served_share(calls: results.Calls) -> float:
@@ -312,18 +319,23 @@
     )
 
 
-def _depth() -> Series:
+def _depth(deadline: float = 1.0) -> Series:
+    """One answer in a hundred is an error, so that retries at each depth show what they multiply."""
     proxies = ProxySizes(real=1, hollow=3)
     callers = CallerSizes(rate_per_s=20.0, mix={"read": 1.0}, retries=2)
+    classes = [{**CLASSES[0], "deadline": deadline, "objective": 0.3 * deadline}]
     sizes = []
     for depth in (1, 4, 8, 16, 28):
         backends = BackendSizes(count=4, services=depth, service_ms=5.0, fail_share=0.01)
-        sizes.append((float(depth), _experiment(f"depth-{depth}", 12.0, backends, proxies, callers)))
+        name = f"depth-{depth}-of-{deadline:g}s"
+        settings: dict[str, object] = {"grades": classes}
+        sizes.append((float(depth), _experiment(name, 12.0, backends, proxies, callers, (), settings)))
     return Series(
         per="service in the chain",
         sizes=sizes,
         figures={
-            "begun at the deepest for each call": ("1", begun_per_call),
+            "begun at the first for each call": ("1", begun_per_call(first=True)),
+            "begun at the deepest for each call": ("1", begun_per_call()),
             "tries for each call": ("1", calls(lambda c: c.tries / max(1, c.planned))),
             "served share": ("1", calls(served_share)),
             "latency of read, 50": ("ms", calls(lambda c: c.latency.get("read", {}).get("p50_ms", 0.0))),
@@ -362,6 +374,7 @@
     "restarts": _restarts,
     "probes": _probes,
     "depth": _depth,
+    "deep": partial(_depth, 5.0),  # time enough
 }
 
 
