Hold few hollow proxies in a process where calls go deep

111 proxies shared one loop in the series `depth` and `deep`; a loop's lag is taken twice off each call's budget at each hop, so that a part of the loss at depth was the stand-in's. 14 share one now.

--- a/granitepoint/fleet/slopes.py
+++ b/granitepoint/fleet/slopes.py
@@ -321,7 +321,7 @@
 
 def _depth(deadline: float = 1.0) -> Series:
     """One answer in a hundred is an error, so that retries at each depth show what they multiply."""
-    proxies = ProxySizes(real=1, hollow=3)
+    proxies = ProxySizes(real=1, hollow=3, per_process=14)  # few: a loop's lag is taken off each budget
     callers = CallerSizes(rate_per_s=20.0, mix={"read": 1.0}, retries=2)
     classes = [{**CLASSES[0], "deadline": deadline, "objective": 0.3 * deadline}]
     sizes = []
