--- a/granitepoint/fleet/state.py
+++ b/granitepoint/fleet/state.py
@@ -25,6 +25,9 @@
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         pass
 
+    def gone(self) -> bool:
+        return False
+
 
 def _driver(backends: int) -> Driver:
     entries = [
