Let the test of an interrupt hear it where the shell that began the tests ignores it

A run of the tests begun in the background by a shell inherits an ignored SIGINT, and the interrupt that the test sends itself went unheard: the small fleet ran on for its 300 s. Ruled out: the run's own handling, which ends within a second where the signal arrives. The test now sets the usual handler for its own length and puts the one before back.

Seen to pass with SIGINT ignored by the shell.

--- a/tests/test_fleet_run.py
+++ b/tests/test_fleet_run.py
@@ -103,7 +103,11 @@
             os.kill(os.getpid(), signal.SIGINT)
 
     text = SMALL.replace("duration_s = 2.5", "duration_s = 300.0")
-    assert not run(parse(text), path, report)
+    before = signal.signal(signal.SIGINT, signal.default_int_handler)  # ignored where a shell began the tests
+    try:
+        assert not run(parse(text), path, report)
+    finally:
+        signal.signal(signal.SIGINT, before)
     records = results.read(path)
     end = results.only(records, results.End)
     assert not end.complete and end.why == "interrupted"
