--- /dev/null
+++ b/granitepoint/modelcheck/draw.py
@@ -0,0 +1,84 @@
+"""Drawing of settings, reports and lists."""
+
+from __future__ import annotations
+
+import math
+
+import hypothesis.strategies as st
+
+from granitepoint.interface import Effect, ListKind, RequestClass, ServerEntry, ServerState, Tenant
+
+NAMES = ("order", "pay", "read", "feed")
+ZONES = ("a", "b", "c")
+SERVERS = 9  # at most, numbered from 1
+SPANS = (0.0, 0.001, 0.005, 0.01, 0.03, 0.05, 0.1, 0.3, 1.0, 2.5)  # s
+
+classes = st.builds(
+    RequestClass,
+    name=st.sampled_from(NAMES),
+    worth=st.sampled_from([0.0, 1.0, 6.0]),
+    aim=st.sampled_from([1.2, 0.5, 0.05]),
+    deadline=st.sampled_from([3.0, 1.0, 0.3]),
+    late_worth=st.sampled_from([0.0, 0.5]),
+    effect=st.sampled_from(Effect),
+    group=st.sampled_from(["all", "zone", "cell"]),
+    window=st.sampled_from([5.0, 0.4, 0.05, 0.0]),
+    stream=st.booleans(),
+)
+
+# of Settings
+options = st.fixed_dictionaries(
+    {
+        "classes": st.lists(classes, min_size=1, max_size=4, unique_by=lambda cls: cls.name),
+        "tenants": st.sampled_from([[], [Tenant("acme", 5.0, 0.4), Tenant("beta", 0.0, 0.1)]]),
+        "zone": st.sampled_from(ZONES),
+        "me": st.integers(0, 3),
+        "balancers": st.sampled_from([1, 4, 30]),
+        "stage": st.integers(0, 2),
+        "quantum": st.sampled_from([0.0, 0.005]),
+        "ask_for_list": st.booleans(),
+        "must_ask_within": st.sampled_from([1.0, 10.0]),
+        "max_attempts": st.sampled_from([3, 2, 5, 1]),
+        "may_duplicate": st.booleans(),
+        "may_cancel": st.booleans(),
+        "may_probe": st.booleans(),
+        "clients_mark_retries": st.booleans(),
+        "may_advise_wait": st.booleans(),
+        "max_wait_advice": st.sampled_from([0.0, 2.0]),
+        "over_share_worth": st.sampled_from([0.0, 0.05, 1.0]),
+        "worth_by_work": st.booleans(),
+        "reports": st.sampled_from(["answer", "probe", "none"]),
+        "conn_idle": st.sampled_from([0.1, 15.0]),
+        "price_probe": st.sampled_from([0.0, 0.001, 0.06]),
+        "price_crossing": st.sampled_from([0.0, 1.0]),
+        "answer_slack": st.just(0.02),
+        "cold_from": st.sampled_from([0.1, 0.39, 1.0]),
+        "cold_for": st.sampled_from([0.0, 8.1]),
+        "fall_multiple": st.sampled_from([1.0, 3.0]),
+        "fall_within": st.sampled_from([1.0, 2.0]),
+    }
+)
+
+
+def place(server: int) -> tuple[str, int]:
+    """The zone and the cell of a server: two cells in each zone."""
+    return ZONES[server % len(ZONES)], server // len(ZONES) % 2
+
+
+def entry(
+    server: int, state: ServerState = ServerState.SERVING, started_at: float = 0.0, weight: float = 1.0
+) -> ServerEntry:
+    zone, cell = place(server)
+    return ServerEntry(server, zone, "", cell, state, weight, started_at)
+
+
+Line = tuple[int, ServerState, bool, float]  # server, state, whether it has just started, weight
+lines = st.tuples(
+    st.integers(1, SERVERS),
+    st.sampled_from([ServerState.SERVING, ServerState.SERVING, ServerState.DRAINING, ServerState.GONE]),
+    st.booleans(),
+    st.sampled_from([0.0, 0.5, 1.0, 4.0]),
+)
+kinds = st.sampled_from([ListKind.INCREMENTAL, ListKind.INCREMENTAL, ListKind.FULL, ListKind.SAVED, ListKind.FAILED])
+figures = st.sampled_from([0.0, 1.0, 7.5, 40.0, 1e6, -1.0, math.inf])
+reports = st.one_of(st.none(), st.dictionaries(st.sampled_from(["busy_reqs", "pending", "odd"]), figures))
