--- /dev/null
+++ b/granitepoint/modelcheck/endings.py
@@ -0,0 +1,594 @@
+"""A state machine over both sides' connections: peers that close, half close, reset, send early, more or late."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import math
+from collections import Counter
+from dataclasses import dataclass
+from typing import Any, ClassVar
+
+import httptools
+import hypothesis.strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, precondition, rule
+
+from granitepoint import __main__ as program
+from granitepoint.interface import Effect, RequestClass, Settings
+from granitepoint.modelcheck.sockets import Clock, Link, Loop, Peer
+from granitepoint.modelcheck.world import RuleBroken
+from granitepoint.net import discovery, driver, server, upstream
+from granitepoint.net.config import Config
+
+NOWHERE = ("10.9.9.9", 9)
+SOON = 0.02  # s
+LATE = 0.6  # s after its time by which an answer has come, or it is lost
+CLASSES = [
+    RequestClass("read", 1.0, 0.5, 1.2, 0.5),
+    RequestClass("pay", 6.0, 0.8, 2.0, 0.5, Effect.BY_KEY, "zone", 0.4),
+    RequestClass("order", 2.0, 0.8, 2.0, 0.5, Effect.ONCE),
+]
+BY_NAME = {cls.name: cls for cls in CLASSES}
+
+
+class Quiet(logging.Handler):
+    """Keeps what is logged as an error: a fault that a callback has caught."""
+
+    def __init__(self) -> None:
+        super().__init__(logging.ERROR)
+        self.lines: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.lines.append(self.format(record))
+
+
+@dataclass(slots=True)
+class Asked:
+    """A request as its client sent it."""
+
+    id: str
+    cls: RequestClass
+    budget: float
+    ends_at: int  # place of its last byte in all that the client has sent
+    read_at: float | None = None  # when the proxy had read it whole
+    code: int = 0
+    body: bytes = b""
+    answered_at: float = 0.0
+
+
+class Client(Peer):
+    """Sends requests and reads their answers, in order."""
+
+    def __init__(self, model: Model) -> None:
+        self.model = model
+        self.asked: list[Asked] = []
+        self.sent = 0
+        self.left_at: float | None = None
+        self.good = True  # has sent nothing but whole requests
+        self.told_close = False
+        self.over = False
+        self.parser = httptools.HttpResponseParser(self)
+        self.body = b""
+        self.half = b""  # the rest of a request that has begun
+
+    @property
+    def unanswered(self) -> list[Asked]:
+        return [asked for asked in self.asked if not asked.code]
+
+    def send(self, data: bytes) -> None:
+        self.sent += len(data)
+        self.link.peer_sends(data)
+
+    def leave(self, how: str) -> None:
+        if how == "reset":
+            self.link.peer_resets()
+        else:
+            self.link.peer_closes()
+        self.left_at = self.model.clock.now
+
+    def got(self, data: bytes) -> None:
+        if self.left_at is None:
+            self.parser.feed_data(data)
+
+    def ended(self) -> None:
+        self.over = True
+        self.model.client_ended(self)
+
+    def lost(self) -> None:
+        self.over = True
+        self.model.client_ended(self)
+
+    # parser callbacks
+    def on_body(self, chunk: bytes) -> None:
+        self.body += chunk
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"connection" and value.lower() == b"close":
+            self.told_close = True
+
+    def on_message_complete(self) -> None:
+        code, body, self.body = self.parser.get_status_code(), self.body, b""
+        if code != 100:
+            self.model.answered(self, code, body)
+
+
+class Backend(Peer):
+    """A connection at a backend: requests as they come, and what has been answered."""
+
+    def __init__(self, model: Model, address: tuple[str, int]) -> None:
+        self.model, self.address = model, address
+        self.parser = httptools.HttpRequestParser(self)
+        self.id = ""
+        self.begun: str | None = None
+        self.runs: str | None = None  # a request that has come whole and has no answer
+        self.probe = False
+        self.body = b""
+
+    def made(self) -> None:
+        self.model.backends.append(self)
+
+    def got(self, data: bytes) -> None:
+        self.parser.feed_data(data)
+
+    def lost(self) -> None:
+        self.model.backends.remove(self)
+
+    def answer(self, data: bytes) -> None:
+        self.runs = None
+        self.link.peer_sends(data)
+
+    # parser callbacks
+    def on_message_begin(self) -> None:
+        self.id = ""
+
+    def on_url(self, target: bytes) -> None:
+        self.probe = target in (b"/load", b"/healthz")
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"x-call-id":
+            self.id = value.decode()
+            self.model.attempt_begins(self.id)
+
+    def on_message_complete(self) -> None:
+        if self.probe:
+            self.link.peer_sends(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\ninflight=1")
+            return
+        self.runs = self.id
+        self.model.attempt_whole(self.id, self)
+
+
+class Discovery:
+    """Stands in for the client of discovery: lists come from the model alone."""
+
+    pushed = False
+
+    def watch(self, on: bool) -> None:
+        pass
+
+    def fetch(self) -> None:
+        pass
+
+    def stop(self) -> None:
+        pass
+
+
+class Model:
+    """One proxy between clients and backends, with the checks of what passes through it."""
+
+    def __init__(self, seed: int, backends: int, sockets: int, **changes: Any) -> None:
+        self.clock = Clock(1000.0)
+        self.loop = Loop(self.clock, self.connect)
+        self.modules = [discovery, driver, server, upstream, program]
+        self.kept = [(module, name, getattr(module, name, None)) for module in self.modules for name in ("time", "select")]
+        for module, name, old in self.kept:
+            if old is not None:
+                setattr(module, name, getattr(self.clock, name))
+        self.errors = Quiet()
+        logging.getLogger("granitepoint").addHandler(self.errors)
+        self.level = logging.getLogger("granitepoint").level
+        logging.getLogger("granitepoint").setLevel(logging.ERROR)
+        logging.getLogger("granitepoint").propagate = False
+        self.clients: list[Client] = []
+        self.backends: list[Backend] = []  # their open connections
+        self.asked: dict[str, Asked] = {}
+        self.owner: dict[str, Client] = {}
+        self.whole: dict[str, list[tuple[float, int]]] = {}  # by id: when it came whole, and where
+        self.unseen: Counter[str] = Counter()  # of these, those turned away
+        self.served: dict[str, set[bytes]] = {}
+        self.how_to_connect = "at once"
+        self.ids = 0
+        self.breaches: list[RuleBroken] = []
+        self.version = 1
+        self.ending: asyncio.Task[None] | None = None
+        self.ended_at = math.inf
+        self.still = 0.0  # s that the process has stood still in all
+        settings = Settings(CLASSES, zone="a", **{"answer_slack": 0.02, "quantum": 0.005, **changes})
+        self.states = {number: "Ready" for number in range(1, backends + 1)}
+        config = Config("n", NOWHERE, NOWHERE, seed, sockets, 64.0, self.listing(True), settings)
+
+        async def start() -> None:
+            self.driver = driver.Driver(config)
+            self.driver.discovery = Discovery()  # type: ignore[assignment]
+            advice = self.driver.advice(driver.NO_ROOM_ADVICE)
+            self.server = server.Server(self.driver.effects, self.driver, sockets, 64.0, advice)
+            self.driver.start()
+            self.server._sweep_later()
+
+        self.loop.run_until_complete(start())
+
+    def listing(self, whole: bool, *numbers: int) -> dict[str, Any]:
+        named = [
+            {"name": f"s-{number}", "address": f"10.0.0.{number}:80", "zone": "ab"[number % 2], "type": "m",
+             "group": 0, "status": self.states[number], "since_ms": 0}
+            for number in numbers or self.states if not whole or self.states[number] != "Gone"
+        ]  # fmt: skip
+        return {"index": self.version, "snapshot": whole, "endpoints": named}
+
+    def tell(self, number: int, state: str, whole: bool) -> None:
+        self.version += 1
+        self.states[number] = state
+        listing = self.listing(True) if whole else self.listing(False, number)
+        self.call(lambda: self.driver._on_list(discovery.read_listing(listing)))
+
+    async def connect(self, address: tuple[str, int]) -> Peer:
+        how = self.how_to_connect
+        if how == "refused":
+            raise ConnectionRefusedError("refused")
+        if how == "late":
+            await asyncio.sleep(0.1)
+        elif how == "never":
+            await asyncio.sleep(100.0)
+        return Backend(self, address)
+
+    def call(self, do: Any) -> None:
+        self.loop.call_soon(do)
+        self.run(0.0)
+
+    def run(self, span: float) -> None:
+        self.loop.run_for(span)
+        self.check()
+
+    def breach(self, rule: str, text: str) -> None:
+        """Kept until the turn is over: the proxy would take an exception here for its own."""
+        self.breaches.append(RuleBroken(rule, text))
+
+    # the clients
+    def client(self) -> Client:
+        client = Client(self)
+
+        def made() -> None:
+            protocol = server.ClientConnection(self.server)
+            link = Link(self.loop, protocol, client)
+            protocol.connection_made(link)
+
+        self.clients.append(client)
+        self.call(made)
+        return client
+
+    def request(self, client: Client, cls: RequestClass, budget: float, last: bool = False) -> bytes:
+        self.ids += 1
+        id = f"{self.ids:016d}"
+        method = "GET" if cls.effect is Effect.REPEATABLE else "POST"
+        lines = [f"{method} /{cls.name} HTTP/1.1", f"X-Call-Id: {id}", f"X-Budget: {budget * 1e3:.0f}m"]
+        lines += ["Idempotency-Key: k"] * (cls.effect is Effect.BY_KEY)
+        lines += ["Content-Length: 4"] * (method == "POST") + ["Connection: close"] * last
+        data = ("\r\n".join(lines) + "\r\n\r\n" + "body" * (method == "POST")).encode()
+        before = client.sent + len(client.half)
+        asked = Asked(id, cls, min(budget, cls.deadline), before + len(data))
+        client.asked.append(asked)
+        self.asked[id], self.owner[id] = asked, client
+        return data
+
+    def answered(self, client: Client, code: int, body: bytes) -> None:
+        waiting = client.unanswered
+        if not waiting:
+            if client.good and not (code == 408 and client.half):
+                self.breach("answer", f"an answer {code} that nobody asked for")
+            return
+        asked = waiting[0]
+        asked.code, asked.body, asked.answered_at = code, body, self.clock.now
+        if code == 200 and body not in self.served.get(asked.id, set()):
+            self.breach("answer", f"call {asked.id} is served with what no backend made for it")
+        if code in (429, 503):
+            group_all = asked.cls.effect is Effect.BY_KEY and asked.cls.group == "all"
+            ran = len(self.whole.get(asked.id, [])) > self.unseen[asked.id]
+            if ran and asked.cls.effect is not Effect.REPEATABLE and not group_all:
+                self.breach("repeat", f"call {asked.id} may have run and is refused as if harmless")
+
+    def client_ended(self, client: Client) -> None:
+        """The proxy ends a connection: all that it has read there whole is answered."""
+        if client.left_at is not None or not client.good or not client.link.taking:
+            return
+        owed = [asked.id for asked in client.unanswered if asked.ends_at <= client.link.was_read]
+        if owed and not client.told_close:
+            self.breach("answer", f"a connection ends with {owed} unanswered")
+
+    # the backends
+    def attempt_begins(self, id: str) -> None:
+        client = self.owner.get(id)
+        if client is None:
+            self.breach("repeat", f"call {id} came from no client")
+            return
+        if client.left_at is not None and client.left_at < self.clock.now:
+            self.breach("answer", f"call {id} is sent on {self.clock.now - client.left_at:g} s after its caller left")
+        if self.asked[id].code:
+            self.breach("answer", f"call {id} is sent on after its answer")
+
+    def attempt_whole(self, id: str, backend: Backend) -> None:
+        cls = self.asked[id].cls
+        zone = int(backend.address[0].rpartition(".")[2]) % 2
+        earlier = self.whole.setdefault(id, [])
+        if len(earlier) > self.unseen[id]:
+            if cls.effect is Effect.ONCE:
+                self.breach("repeat", f"call {id} came a second time")
+            if cls.effect is Effect.BY_KEY:
+                first_at, first_zone = earlier[self.unseen[id]]
+                if cls.group == "zone" and zone != first_zone:
+                    self.breach("repeat", f"call {id} came to another zone")
+                if self.clock.now - first_at > cls.window:
+                    self.breach("repeat", f"call {id} came again after its window")
+        earlier.append((self.clock.now, zone))
+
+    def turned_away(self, id: str) -> None:
+        self.unseen[id] += 1
+        self.whole[id].sort(key=lambda came: came is not self.whole[id][-1])
+
+    # all
+    def check(self) -> None:
+        if self.breaches:
+            raise self.breaches[0]
+        for fault in self.loop.faults:
+            raise RuleBroken("callback", f"{fault.get('message')}: {fault.get('exception')!r}")
+        if self.errors.lines:
+            raise RuleBroken("callback", self.errors.lines[0])
+        now = self.clock.now
+        for client in self.clients:
+            for asked in client.asked:
+                if asked.read_at is None and asked.ends_at <= client.link.was_read:
+                    asked.read_at = now
+                if asked.read_at is None or client.left_at is not None or asked.code or not client.good:
+                    continue
+                if client.told_close or not client.link.taking or client.unanswered[0] is not asked:
+                    continue
+                late = now - asked.read_at - asked.budget
+                behind = max([other.answered_at for other in client.asked if other.code], default=0.0)
+                if late > LATE + self.still and now - behind - asked.budget > LATE + self.still:
+                    raise RuleBroken("answer", f"call {asked.id} has no answer {late:g} s after its time")
+
+    def term(self) -> None:
+        self.ended_at = self.clock.now
+        self.ending = self.loop.create_task(program.drain(self.server, self.driver))
+
+    def finish(self) -> None:
+        """The proxy is told to end, and has ended by the time of its SIGKILL; nothing is left open."""
+        if self.ending is None:
+            self.term()
+        self.run(3.0 + 0.7)
+        owed = [a.id for c in self.clients if c.left_at is None and c.good and c.link.taking and not c.told_close
+                for a in c.unanswered if a.read_at is not None and a.read_at < self.ended_at + 0.7]  # fmt: skip
+        if owed:
+            raise RuleBroken("answer", f"{owed} are unanswered at the end")
+        self.run(3.0)
+        assert self.ending is not None
+        if not self.ending.done():
+            raise RuleBroken("kept", "the proxy does not end")
+        self.ending.result()
+        left = {"calls": len(self.driver.calls), "attempts": len(self.driver.out), "ids": len(self.driver.ids),
+                "connections of callers": len(self.server.connections), "unread": len(self.server.unread),
+                "in the module": len(self.driver.balancer.gate.calls)}  # fmt: skip
+        if any(left.values()):
+            raise RuleBroken("kept", f"left open: { {name: n for name, n in left.items() if n} }")
+        if self.driver.upstreams.made != len(self.backends):
+            raise RuleBroken("kept", f"{self.driver.upstreams.made} connections counted, {len(self.backends)} open")
+
+    def stop(self) -> None:
+        for module, name, old in self.kept:
+            if old is not None:
+                setattr(module, name, old)
+        log = logging.getLogger("granitepoint")
+        log.removeHandler(self.errors)
+        log.setLevel(self.level)
+        log.propagate = True
+        for task in asyncio.all_tasks(self.loop):
+            task.cancel()
+        self.loop.run_until_complete(asyncio.sleep(0))
+        self.loop.close()
+
+
+def answer(code: int, body: bytes, *headers: str) -> bytes:
+    lines = [f"HTTP/1.1 {code} X", f"Content-Length: {len(body)}", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+SPANS = [0.0, 0.001, 0.003, 0.05, 0.3, 1.0]
+
+
+class Endings(RuleBasedStateMachine):
+    model: Model
+    checked: ClassVar[type[Model]] = Model
+
+    @initialize(
+        seed=st.integers(0, 99),
+        backends=st.integers(1, 4),
+        sockets=st.sampled_from([256, 64]),
+        may_probe=st.booleans(),
+        conn_idle=st.sampled_from([15.0, 0.4]),
+        max_attempts=st.sampled_from([3, 1]),
+    )
+    def begin(
+        self, seed: int, backends: int, sockets: int, may_probe: bool, conn_idle: float, max_attempts: int
+    ) -> None:
+        self.model = type(self).checked(
+            seed, backends, sockets, may_probe=may_probe, conn_idle=conn_idle, max_attempts=max_attempts,
+            may_cancel=True, cold_for=0.0, price_probe=0.06,
+        )  # fmt: skip
+        self.broken = False
+
+    def client_at(self, which: int) -> Client | None:
+        clients = [c for c in self.model.clients if not c.over and c.left_at is None]
+        return clients[which % len(clients)] if clients else None
+
+    @rule(
+        which=st.integers(0, 9),
+        new=st.booleans(),
+        names=st.lists(st.sampled_from(sorted(BY_NAME)), min_size=1, max_size=3),
+        budget=st.sampled_from([1.0, 0.25, 2.0, 0.05]),
+        last=st.booleans(),
+        cut=st.integers(0, 40),
+    )
+    def ask(self, which: int, new: bool, names: list[str], budget: float, last: bool, cut: int) -> None:
+        """Requests on one connection, one behind the other; the end of the last may be still to come."""
+        client = None if new else self.client_at(which)
+        if client is None:
+            client = self.model.client()
+        if client.half or client.told_close or (client.asked and client.asked[-1].ends_at < 0):
+            return
+        parts = [
+            self.model.request(client, BY_NAME[name], budget, last and place == len(names) - 1)
+            for place, name in enumerate(names)
+        ]
+        for place in range(1, len(parts)):
+            for asked in client.asked[-len(parts) + place :]:
+                asked.ends_at += len(parts[place - 1])
+        data = b"".join(parts)
+        if cut and not last:
+            client.half, data = data[-cut:], data[:-cut]
+        client.send(data)
+        if last:
+            client.asked[-1].ends_at = client.sent
+        self.run(0.0)
+
+    @rule(which=st.integers(0, 9))
+    def ask_the_rest(self, which: int) -> None:
+        client = self.client_at(which)
+        if client is not None and client.half:
+            half, client.half = client.half, b""
+            client.send(half)
+            self.run(0.0)
+
+    @rule(which=st.integers(0, 9), what=st.sampled_from([b"\x00garbage\r\n\r\n", b"GET / HTTP/1.1\r\n\r\n", b"GET /read HTTP/1.1\r\nX: " + b"a" * 40000, b"\r\n"]))
+    def ask_garbage(self, which: int, what: bytes) -> None:
+        client = self.client_at(which) or self.model.client()
+        client.good = False
+        client.send(what)
+        self.run(0.0)
+
+    @rule(which=st.integers(0, 9), how=st.sampled_from(["close", "reset"]), span=st.sampled_from(SPANS))
+    def leave(self, which: int, how: str, span: float) -> None:
+        client = self.client_at(which)
+        if client is not None:
+            client.leave(how)
+            self.run(span)
+
+    @rule(which=st.integers(0, 9), taking=st.booleans())
+    def take(self, which: int, taking: bool) -> None:
+        client = self.client_at(which)
+        if client is not None:
+            self.model.call(lambda: client.link.peer_takes(taking))
+
+    @precondition(lambda self: any(backend.runs for backend in self.model.backends))
+    @rule(
+        which=st.integers(0, 9),
+        what=st.sampled_from(["ok", "error", "turned away", "ok and more", "twice", "half", "garbage", "until close", "ok, close"]),
+        then=st.sampled_from(["", "close", "reset"]),
+    )
+    def backend_answers(self, which: int, what: str, then: str) -> None:
+        running = [backend for backend in self.model.backends if backend.runs]
+        backend = running[which % len(running)]
+        id = backend.runs
+        assert id is not None
+        body = f"done {id}".encode()
+        self.model.served.setdefault(id, set()).add(body)
+        ok = answer(200, body)
+        if what == "turned away":
+            self.model.turned_away(id)
+        backend.answer({
+            "ok": ok, "error": answer(500, b"no"), "turned away": answer(503, b"", "X-Rejected: 1"),
+            "ok and more": ok + b"x", "twice": ok + ok, "half": ok[:-3], "garbage": b"\x00\x01\r\n\r\n",
+            "until close": b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body,
+            "ok, close": answer(200, body, "Connection: close"),
+        }[what])  # fmt: skip
+        if then == "close":
+            backend.link.peer_closes()
+        elif then == "reset" and what != "turned away":
+            backend.link.peer_resets()
+        self.run(0.0)
+
+    @precondition(lambda self: self.model.backends)
+    @rule(which=st.integers(0, 9), how=st.sampled_from(["close", "end", "reset", "speak", "stop taking", "take"]))
+    def backend_acts(self, which: int, how: str) -> None:
+        backend = self.model.backends[which % len(self.model.backends)]
+        link = backend.link
+        if how == "close":
+            link.peer_closes()
+        elif how == "end":
+            link.peer_ends()
+        elif how == "reset":
+            link.peer_resets()
+        elif how == "speak":
+            link.peer_sends(answer(200, b"early"))
+            if backend.runs:
+                self.model.served.setdefault(backend.runs, set()).add(b"early")
+        else:
+            self.model.call(lambda: link.peer_takes(how == "take"))
+        self.run(0.0)
+
+    @rule(how=st.sampled_from(["at once", "at once", "late", "never", "refused"]))
+    def connects(self, how: str) -> None:
+        self.model.how_to_connect = how
+
+    @rule(
+        number=st.integers(1, 4),
+        state=st.sampled_from(["Ready", "Ready", "Ready", "Terminating", "Gone"]),
+        whole=st.booleans(),
+    )
+    def list_changes(self, number: int, state: str, whole: bool) -> None:
+        if number in self.model.states:
+            self.guard(lambda: self.model.tell(number, state, whole))
+
+    @rule(after=st.sampled_from([0.0, 0.03, 0.2]), rounds=st.integers(1, 3))
+    def serve(self, after: float, rounds: int) -> None:
+        """All that backends have is served."""
+        for _ in range(rounds):
+            self.run(after)
+            for place in range(sum(1 for backend in self.model.backends if backend.runs)):
+                running = [backend for backend in self.model.backends if backend.runs]
+                if place < len(running):
+                    self.backend_answers(0, "ok", "")
+        self.run(0.003)
+
+    @rule(span=st.sampled_from(SPANS))
+    def wait(self, span: float) -> None:
+        self.run(span)
+
+    @rule(span=st.sampled_from([0.02, 0.3, 1.0]))
+    def stand_still(self, span: float) -> None:
+        self.model.still += span
+        self.model.loop.stand_still(span)
+        self.run(0.0)
+
+    @precondition(lambda self: self.model.ending is None)
+    @rule(sure=st.integers(0, 2))
+    def term(self, sure: int) -> None:
+        if sure == 2:
+            self.model.term()
+            self.run(0.0)
+
+    def run(self, span: float) -> None:
+        self.guard(lambda: self.model.run(span))
+
+    def guard(self, do: Any) -> None:
+        try:
+            do()
+        except BaseException:
+            self.broken = True
+            raise
+
+    def teardown(self) -> None:
+        if not hasattr(self, "model"):
+            return
+        try:
+            if not self.broken:
+                self.model.finish()
+        finally:
+            self.model.stop()
