Endings: peers act at times of their own, also while the process stands still

Found with it: the last byte of a request goes out although an answer nobody asked for lies unread on its connection, and that is then served.

--- a/granitepoint/modelcheck/sockets.py
+++ b/granitepoint/modelcheck/sockets.py
@@ -6,10 +6,12 @@
 from __future__ import annotations
 
 import asyncio
+import heapq
 import select
 from collections import deque
 from collections.abc import Awaitable, Callable
 from itertools import count
+from random import Random
 from types import SimpleNamespace
 from typing import Any
 
@@ -26,6 +28,7 @@
         self.now = start
         self.numbers = count(100)
         self.links: dict[int, Link] = {}  # by file number: open at the proxy's side
+        self.due: list[tuple[float, int, Callable[[], object]]] = []  # what the peers do, and when
         self.time = SimpleNamespace(monotonic=lambda: self.now, time=lambda: self.now)
         self.select = SimpleNamespace(
             poll=lambda: Poll(self),
@@ -33,6 +36,22 @@
         )
 
 
+    def at(self, delay: float, do: Callable[[], object]) -> None:
+        """A peer does this after so many s, whatever the proxy is doing then."""
+        heapq.heappush(self.due, (self.now + delay, next(self.numbers), do))
+
+    def pass_time(self, span: float, until_ready: bool = False) -> None:
+        """Time goes by, and with it what the peers do; until something of it reaches the proxy, if so asked."""
+        end = self.now + span
+        while self.due and self.due[0][0] <= end:
+            at, _, do = heapq.heappop(self.due)
+            self.now = max(self.now, at)
+            do()
+            if until_ready and any(link.readable() for link in self.links.values()):
+                return
+        self.now = end
+
+
 class Poll:
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
@@ -56,9 +75,9 @@
 class Loop(asyncio.BaseEventLoop):
     """Time passes only while nothing is ready; a connect is the model's to answer."""
 
-    def __init__(self, clock: Clock, connect: Connect) -> None:
+    def __init__(self, clock: Clock, connect: Connect, seed: int) -> None:
         super().__init__()
-        self.clock, self.connect = clock, connect
+        self.clock, self.connect, self.chance = clock, connect, Random(seed)
         self._selector = self
         self.faults: list[dict[str, Any]] = []  # what came out of callbacks
         self.set_exception_handler(lambda _, context: self.faults.append(context))
@@ -67,11 +86,13 @@
         return self.clock.now
 
     def select(self, timeout: float | None) -> list[Link]:
-        ready = [link for link in self.clock.links.values() if link.readable()]
-        if not ready and timeout is None:
+        self.clock.pass_time(0.0)
+        if timeout is None and not any(link.readable() for link in self.clock.links.values()):
             raise AssertionError("nothing will ever happen")
-        if not ready and timeout:
-            self.clock.now += timeout
+        if timeout and not any(link.readable() for link in self.clock.links.values()):
+            self.clock.pass_time(timeout, until_ready=True)
+        ready = [link for link in self.clock.links.values() if link.readable()]
+        self.chance.shuffle(ready)
         return ready
 
     def _process_events(self, ready: list[Link]) -> None:
@@ -92,7 +113,7 @@
 
     def stand_still(self, span: float) -> None:
         """The process gets no processor time."""
-        self.clock.now += span
+        self.clock.pass_time(span)
 
 
 class Peer:
