--- /dev/null
+++ b/granitepoint/modelcheck/check.py
@@ -0,0 +1,84 @@
+"""Runs one check: a state machine with the checkers of a rule, or of all rules that it holds."""
+
+from __future__ import annotations
+
+import re
+from collections import Counter
+from typing import Any
+
+import hypothesis
+from hypothesis import HealthCheck, Phase
+from hypothesis.stateful import RuleBasedStateMachine, run_state_machine_as_test
+
+from granitepoint.modelcheck.cold import ColdStarts
+from granitepoint.modelcheck.endings import Endings
+from granitepoint.modelcheck.obligations import Obligations
+from granitepoint.modelcheck.rules import RULES
+
+Machine = type[RuleBasedStateMachine]
+
+# The name of each check: its state machine, and what is changed in it.
+CHECKS: dict[str, tuple[Machine, dict[str, Any]]] = {
+    "instance": (Obligations, {}),
+    "cold": (ColdStarts, {}),
+    "endings": (Endings, {}),
+    **{rule.name: (Obligations, {"checkers": (rule,)}) for rule in RULES},
+}
+SHRINK = (Phase.generate, Phase.shrink)
+IMPORTS = {
+    "granitepoint.interface": ("Effect", "ListKind", "RequestClass", "ServerState", "Status", "Tenant"),
+    "math": ("inf",),
+}
+
+
+class Found(AssertionError):
+    """A rule does not hold; `test` is the shortest case found, as a test."""
+
+    def __init__(self, cause: BaseException, test: str) -> None:
+        super().__init__(str(cause) or repr(cause))
+        self.test = test
+
+
+def as_test(machine: Machine, notes: list[str]) -> str:
+    """The steps that hypothesis tells of, as a function that can be run."""
+    for note in notes:
+        _, falsifying, steps = note.partition("Falsifying example:\n")
+        if falsifying:
+            steps = re.sub(r"<(\w+\.\w+): [^>]*>", r"\1", steps)  # an enumeration's member
+            steps = re.sub(r"^state = \w+\(\)", f"state = {machine.__name__}()", steps)
+            imports = [f"from {machine.__module__} import {machine.__name__}"]
+            for module, names in IMPORTS.items():
+                used = [name for name in names if re.search(rf"\b{name}\b", steps)]
+                if used:
+                    imports.append(f"from {module} import {', '.join(used)}")
+            body = "".join(f"    {line}\n" for line in steps.strip().split("\n"))
+            return "\n".join(sorted(imports)) + f"\n\n\ndef test_found() -> None:\n{body}"
+    return "\n".join(notes)
+
+
+def check(
+    name: str,
+    examples: int,
+    steps: int,
+    seed: int,
+    figures: Counter[str] | None = None,
+    phases: tuple[Phase, ...] = SHRINK,
+    **changes: Any,
+) -> None:
+    """Raises Found with the shortest case. `figures` gets what was run; `changes` are of the machine."""
+    base, own = CHECKS[name]
+    machine = type(base.__name__, (base,), {"figures": figures, "__module__": base.__module__, **own, **changes})
+    quiet = hypothesis.settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        deadline=None,
+        database=None,
+        print_blob=False,
+        report_multiple_bugs=False,
+        phases=phases,
+        suppress_health_check=list(HealthCheck),
+    )
+    try:
+        run_state_machine_as_test(hypothesis.seed(seed)(machine), settings=quiet)
+    except Exception as fault:
+        raise Found(fault, as_test(base, getattr(fault, "__notes__", []))) from fault
--- a/granitepoint/modelcheck/cold.py
+++ b/granitepoint/modelcheck/cold.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import ClassVar
 
 import hypothesis.strategies as st
@@ -19,6 +20,7 @@
     """The budget of each cold server, over all instances."""
 
     make: ClassVar[Make] = Balancer
+    figures: ClassVar[Counter[str] | None] = None  # of what was run
     fleet: Fleet
 
     @initialize(
@@ -104,3 +106,13 @@
     @rule(which=st.integers(0, 29), span=st.sampled_from([0.3, 1.0, 3.0]))
     def stand_still(self, which: int, span: float) -> None:
         self.fleet.stand_still(which % len(self.fleet.instances), span)
+
+    def teardown(self) -> None:
+        if self.figures is None or not hasattr(self, "fleet"):
+            return
+        starts = [*self.fleet.over, *self.fleet.starts.values()]
+        fullest = max((self.fleet.rule.fullest(start)[0] for start in starts), default=0.0)
+        sends = sum(len(start.sends) for start in starts)
+        self.figures.update({"examples": 1, "cold starts": len(starts), "attempts on cold servers": sends})
+        which = "% of a budget used at most"
+        self.figures[which] = max(self.figures[which], round(100 * fullest))
--- a/granitepoint/modelcheck/obligations.py
+++ b/granitepoint/modelcheck/obligations.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from collections import Counter
 from random import Random
 from typing import Any, ClassVar
 
@@ -36,6 +37,7 @@
 
     make: ClassVar[Make] = Balancer
     checkers: ClassVar[tuple[type[Rule], ...]] = RULES
+    figures: ClassVar[Counter[str] | None] = None  # of what was run
     world: World
     last_id = 0
 
@@ -214,3 +216,7 @@
         self.world.finish()
         for rule in self.world.rules:
             rule.check(not self.world.open, f"calls {list(self.world.open)} do not end")
+        if self.figures is not None:
+            attempts = sum(len(call.attempts) for call in self.world.calls.values())
+            ran = {"examples": 1, "turns": self.world.turns, "requests": self.last_id, "attempts": attempts}
+            self.figures.update(ran)
