Discovery: a watch still asking for its first list is not begun anew

The module's first watch comes at a random time within 2 s of the start. When it came between a move to another address (SIGHUP) and the answer to the first call there, the running watch was cancelled and begun again, so the whole list was asked for twice: test_a_reload_takes_the_list_of_the_new_address_whole_and_ watches_from_there then saw '/v1/servers' again in place of '/v1/servers?from=1&hold_ms='. Confirmed by forcing it: move(), watch(True), then the answer. Such a watch now goes on, for it asks again by itself (MOVE_AGAIN, MOVE_TRIES). One that was stopped, or that gives up, no longer counts as running.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -180,7 +180,10 @@
 
     def watch(self, on: bool) -> None:
         """A call that is out stays beside the new one: discovery may be writing its answer, which counts as
-        told, or may soon come to it, and the new one waits its turn anew."""
+        told, or may soon come to it, and the new one waits its turn anew. A watch that has no list of its
+        server yet goes on as it is: it asks again by itself, and begun anew it would ask for all twice."""
+        if on and self.version is None and self._watch is not None and not self._watch.done():
+            return
         if self._watch is not None:
             self._watch.cancel()
             self._watch = None
@@ -206,6 +209,7 @@
         for task in (self._watch, *self._fetches):
             if task is not None:
                 task.cancel()
+        self._watch = None
 
     def _end_asks(self) -> None:
         for ask in self._asks:
@@ -247,6 +251,7 @@
                 elif asks or (first and tries < MOVE_TRIES):
                     await self._pause(MOVE_PAUSE if first else RENEW_PAUSE, failures)
                 else:
+                    self._watch = None  # over, for whom it tells
                     self.on_failed()
                     return
         finally:
