Tests: hold the address of the program under test, so that nobody else can get it

netkit took a free port, let it go and had the program listen on it 0.1 to 0.2 s later. In between any other process may get it as the port of a listener or of a connection. Seen: three copies of the suite side by side (load 3 to 4), one failure in the first 3 x 429 tests, test_a_spoilt_answer_ends_its_attempt_at_once[upgrade], whose program never came up: until_ready waited its 20 s. Forced, by another listener that takes the port before the program starts: the same time-out, 20.0 s. Worse, where the other is another copy's proxy, /healthz says 200 and the test talks to a stranger.

Now the port stays bound, unlistened, until the test is over: both sides reuse addresses, so the program can listen on it and nobody else is given it (the forced case: 'address already in use' for the other, and 200). A program that ends before it is ready fails its test at once, with what it wrote, in place of after 20 s. test_proxy.py and test_reload.py: 62 passed with two copies of the suite beside them.

--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -8,9 +8,10 @@
 import json
 import os
 import signal
+import socket
 import sys
 import tempfile
-from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine, Iterator
 from pathlib import Path
 from typing import Any
 
@@ -219,12 +220,14 @@
             return await self.process.wait()
 
 
-def free_address() -> str:
-    import socket
-
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+@contextlib.contextmanager
+def held_address() -> Iterator[str]:
+    """An address that the system gives to nobody else meanwhile: it is bound here and not listened on, so the
+    program can listen on it, for both sides reuse addresses."""
+    with socket.socket() as holder:
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(("127.0.0.1", 0))
+        yield f"127.0.0.1:{holder.getsockname()[1]}"
 
 
 def config(discovery: str, known: dict[str, Any], listen: str, /, **changes: Any) -> dict[str, Any]:
@@ -245,7 +248,7 @@
     )
 
 
-async def until_ready(address: tuple[str, int]) -> None:
+async def until_ready(process: asyncio.subprocess.Process, address: tuple[str, int]) -> None:
     async with asyncio.timeout(PATIENCE):
         while True:
             with contextlib.suppress(OSError, asyncio.IncompleteReadError):
@@ -254,6 +257,9 @@
                 caller.writer.close()
                 if reply.code == 200:
                     return
+            if process.returncode is not None:
+                assert process.stderr is not None
+                raise AssertionError(f"the program ended: {(await process.stderr.read()).decode()}")
             await asyncio.sleep(0.02)
 
 
@@ -267,13 +273,12 @@
         if not backend.address:
             await backend.start()
     known = listing(1, *(endpoint(name, backend.address) for name, backend in backends.items()))
-    listen = free_address()
-    host, _, port = listen.rpartition(":")
-    with tempfile.TemporaryDirectory() as folder:
+    with held_address() as listen, tempfile.TemporaryDirectory() as folder:
+        host, _, port = listen.rpartition(":")
         raw = config(own.address, known, listen, **changes)
         process = await start_program(raw, folder)
         try:
-            await until_ready((host, int(port)))
+            await until_ready(process, (host, int(port)))
             yield Proxy(process, (host, int(port)), Path(folder) / "config.json", raw)
         finally:
             if process.returncode is None:
