--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -109,6 +109,14 @@
 
 
 def main() -> int:
+    if sys.argv[1:] not in ([], ["run"]):
+        from granitepoint.cli import main as command_line
+
+        return command_line(sys.argv[1:])
+    return run()
+
+
+def run() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes while it starts finds the new file read
     logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
     logging.getLogger().handlers[0].addFilter(Sparse())
