Send no call for stuck a second time before an instance's first answer

Cause: a class's mean latency starts at TARGET * aim / 2**stage / 2 (logic.py, Kind), under 1 us at the 20th tier, and watch_ages takes what is out for RESCUE_AGE means as stuck: each first call of an instance deep in a chain was cancelled and sent again at the next step, up to RETRY_BURST times at each tier, and these multiply. Now the further attempt waits for the class's first answer, or for the loosest target (0.9 of the aim).

Both tests fail without it.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -112,8 +112,8 @@
 # -- obligations -----------------------------------------------------------------------------------------
 class Attempt:
     __slots__ = (
-        "call", "counted", "idle", "late", "load", "lost", "number", "opened", "rescued", "sent_at",
-        "server", "status",
+        "blamed", "call", "counted", "idle", "late", "load", "lost", "number", "opened", "rescued",
+        "sent_at", "server", "status",
     )
 
     def __init__(self, call: Call, number: int, server: Server, sent_at: float, load: float) -> None:
@@ -123,6 +123,7 @@
         self.late = False  # has been counted as late
         self.idle = 0.0  # s that the connection had not been used; 0: in use or new
         self.opened = False  # the connection was new
+        self.blamed = False  # has been counted as a sign against its server
         self.rescued = False
         self.lost = False  # overtaken for so long that its connection is at fault, not its server
 
@@ -1085,13 +1086,17 @@
                 stuck.append(attempt)
         self.admission.age = total / counted if counted else 0.0
         for attempt in stuck:
-            server = attempt.server
-            if server.last_ok < attempt.sent_at and not server.ejected_until:
-                attempt.rescued = True
+            server, cls = attempt.server, attempt.call.cls
+            known = cls.mean.count > 0
+            if server.last_ok < attempt.sent_at and not server.ejected_until and not attempt.blamed:
+                attempt.blamed, attempt.rescued = True, known
                 server.slow_streak += 1
                 if server.slow_streak >= 2 or server.trial:
                     self.eject(server, hard=False)
-            self.rescue(attempt)
+            # Before its first answer an instance knows nothing of what lies below, and the further attempts of
+            # all that have just started multiply along a chain. Harm: the first calls on a hung server stay.
+            if known or now - attempt.sent_at > cls.target:
+                self.rescue(attempt)
 
     def overtaken(self, attempt: Attempt) -> bool:
         """Whether its server has served what was sent after it, or reports fewer calls in hand than this
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import math
+from heapq import heappop, heappush
+from itertools import count
 from random import Random
 
 import pytest
@@ -12,9 +14,11 @@
     Action,
     Arrival,
     Balancer,
+    Cancel,
     ClosedAtRest,
     CloseIdle,
     Effect,
+    Event,
     Fail,
     ListKind,
     Outcome,
@@ -357,6 +361,54 @@
     assert Kind(cls, 1).least_target == pytest.approx(Kind(cls, 0).least_target / 2)
 
 
+def test_a_new_instance_takes_no_call_for_stuck_before_its_first_answer() -> None:
+    # Found on a chain of 28 services: the prior was nothing there, and each first call was cancelled at once.
+    cls = RequestClass("safe", worth=1, aim=1.0, deadline=5.0, late_worth=0.5)
+    driver = Driver(settings(classes=[cls], stage=20, stages=28, may_cancel=True))
+    send = only_send(driver.arrive(1, budget=4.0))
+    assert Cancel(1, 0) not in driver.wait(0.85)
+    assert Cancel(1, 0) in driver.wait(0.15)  # past 0.9 of the aim, the loosest target
+    (again,) = sends(driver.settle(send, Status.CANCELLED, final=False))
+    driver.settle(again, Status.OK, attempt=1, elapsed=0.02)
+    driver.arrive(2, budget=4.0)
+    assert Cancel(2, 0) in driver.wait(0.15)  # 4 times the mean, which is known now
+
+
+def test_a_chain_of_new_instances_sends_a_call_once_at_each_depth() -> None:
+    """28 tiers, each 8 ms away from the next: the first calls take 0.22 s, and nothing is wrong with them."""
+    depth, hop = 28, 0.004
+    cls = RequestClass("safe", worth=1, aim=1.5, deadline=5.0)
+    tiers = [
+        Driver(settings(classes=[cls], stage=stage, stages=depth, may_cancel=True), seed=stage)
+        for stage in range(depth)
+    ]
+    begun = [0] * depth
+    due: list[tuple[float, int, int, Event]] = []  # when, which tier hears it, in which order, what
+    order = count()
+
+    def tell(tier: int, at: float, event: Event) -> None:
+        heappush(due, (at, tier, next(order), event))
+
+    for call in range(5):
+        tell(0, 100.0 + 0.02 * call, Arrival(call, "safe", 5.0))
+    while due:
+        at, tier, _, event = heappop(due)
+        driver = tiers[tier]
+        said = driver.wait(at - driver.now) + driver.feed(event)
+        for send in sends(said):
+            begun[tier] += 1
+            if tier + 1 < depth:
+                tell(tier + 1, at + hop, Arrival(send.call, "safe", send.timeout))
+            else:
+                tell(tier, at + 2 * hop, Outcome(send.call, 0, send.server, Status.OK, 2 * hop, True))
+        assert not any(isinstance(action, Cancel | Refuse | Fail) for action in said)
+        if isinstance(event, Outcome) and tier:
+            sent = next(s for s in sends(tiers[tier - 1].said) if s.call == event.call)
+            elapsed = event.elapsed + 2 * hop
+            tell(tier - 1, at + hop, Outcome(event.call, 0, sent.server, Status.OK, elapsed, True))
+    assert begun == [5] * depth
+
+
 def test_window_stays_open_until_the_unhurried_latency_is_known() -> None:
     # Found on the quiet day of riga-orders: a call a second an instance, each taking over a third of its
     # aim. W closed on the first answers, before the unhurried latency could be learned, and half was refused.
