Take off a call's time no more than a share for the margins of its answer

Cause: each hop takes LEAST_MARGIN and MODULE_MARGIN, 40 ms, and twice its loop's lag off the budget (net/driver.py, opened), whatever the budget: through 28 services 1.12 s, more than the whole of a call that has 1 s. Either margin is now at most 2% of the call's time (MARGIN_SHARE), so nothing changes from 1 s on. What the lag takes stays.

The test fails without the change.

--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -35,6 +35,7 @@
 LEAST_MARGIN = 0.02  # s before a caller's deadline at which its answer leaves at the latest
 MOST_MARGIN = 0.15  # s
 MODULE_MARGIN = 0.02  # s by which the module's deadline lies before the proxy's own
+MARGIN_SHARE = 0.02  # of a call's time that either of these takes at most: they add up along a chain of calls
 LAG_FADE = 0.995  # of the measured loop lag that is kept at each timer
 NO_ROOM_ADVICE = 1.0  # s after which a caller that found no room may come back
 MOST_PROBES = 32  # at once
@@ -241,9 +242,10 @@
         self.counts["calls"] += 1
         number = self.calls_taken
         # What the budget has lost before the request was read shows only as this loop's lag.
-        margin = min(MOST_MARGIN, LEAST_MARGIN + 2 * self.lag)
         # No client of a class waits longer than its deadline, whatever it says.
         stated = min(request.budget, self.deadlines[request.cls])
+        spare = MARGIN_SHARE * stated
+        margin = min(MOST_MARGIN, min(LEAST_MARGIN, spare) + 2 * self.lag)
         deadline = request.came + stated - margin
         call = OpenCall(number, request, reply, min(deadline, self.end_by))
         self.calls[number] = call
@@ -254,7 +256,7 @@
             api.Arrival(
                 call=number,
                 cls=request.cls,
-                budget=call.deadline - MODULE_MARGIN - now,
+                budget=call.deadline - min(MODULE_MARGIN, spare) - now,
                 tenant=request.tenant,
                 work=request.work,
                 resent=request.resent,
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -4,8 +4,10 @@
 
 import asyncio
 import time
+from types import SimpleNamespace
 from typing import Any
 
+import pytest
 from helpers import settings
 from netkit import run
 
@@ -38,6 +40,30 @@
     )
 
 
+def test_the_margins_of_a_call_take_no_more_than_a_share_of_its_time(monkeypatch: pytest.MonkeyPatch) -> None:
+    """They add up along a chain of calls: 28 times 40 ms are more than the whole of a second."""
+    monkeypatch.setattr("granitepoint.net.driver.time", SimpleNamespace(monotonic=lambda: 100.0))
+
+    async def test() -> None:
+        nowhere = ("127.0.0.1", 9)
+        config = Config("n0", nowhere, nowhere, 1, sockets=256, memory_mb=64.0, known={}, settings=settings())
+        driver = Driver(config)
+        left = {0.1: 0.096, 0.5: 0.48, 1.0: 0.96, 1.9: 1.86}
+        for number, (budget, told) in enumerate(left.items()):
+            asked = request(100.0)
+            asked.id, asked.budget = b"%d" % number, budget
+            driver.opened(asked, NoReply())
+            arrival = driver.events[-1]
+            assert isinstance(arrival, Arrival) and arrival.budget == pytest.approx(told)
+        for call in driver.calls.values():
+            assert call.timer is not None
+            call.timer.cancel()
+        if isinstance(driver.flush_at, asyncio.Handle):
+            driver.flush_at.cancel()
+
+    run(test())
+
+
 def test_the_module_knows_when_a_proxy_that_ends_must_have_answered() -> None:
     """Told the client's budget alone, it sends what the end of the process cuts off as failed."""
 
