--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -1093,8 +1093,8 @@
                 server.slow_streak += 1
                 if server.slow_streak >= 2 or server.trial:
                     self.eject(server, hard=False)
-            # Before its first answer an instance knows nothing of what lies below, and the further attempts of
-            # all that have just started multiply along a chain. Harm: the first calls on a hung server stay.
+            # Before its first answer an instance knows nothing of what lies below, and the further attempts
+            # of all that have just started multiply along a chain. Harm: first calls on a hung server stay.
             if known or now - attempt.sent_at > cls.target:
                 self.rescue(attempt)
 
