Tests: the call that another has to wait for takes long enough on any machine

test_a_call_that_waits_too_long_ends_with_503 gave the first call 1 s of the stand-in's time: a machine that stood still for a second between the two calls would have had the second one answered. Found by reading; not seen to fail. 24 tests of the file pass.

--- a/tests/test_fleet_stand_ins.py
+++ b/tests/test_fleet_stand_ins.py
@@ -152,7 +152,7 @@
 
 def test_a_call_that_waits_too_long_ends_with_503() -> None:
     async def test() -> None:
-        here = discovery(capacity_per_s=1.0, patience_s=0.01)
+        here = discovery(capacity_per_s=0.001, patience_s=0.01)  # the first call takes it for long
         desk = here.add_desk("one", 0, "a", 0, HERE)
         busy, late = await connect(desk.listener.address), await connect(desk.listener.address)
         first = asyncio.create_task(ask(busy, "/v1/servers"))
