Tests: a backend that is stopped keeps its addresses, so that no stranger answers there

Its port was free for anybody after stop(), while the test goes on with calls to an address that must refuse them (test_no_backend_up..., test_a_backend_that_contradicts_a_silent_watch...). Where copies of the suite or other fleets run beside it, another listener may get it. Found by reading after the same fault of the program's own address; not seen to fail.

--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -64,6 +64,16 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+@contextlib.contextmanager
+def held_address() -> Iterator[str]:
+    """An address that the system gives to nobody else meanwhile: it is bound here and not listened on, so the
+    program can listen on it, for both sides reuse addresses."""
+    with socket.socket() as holder:
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        holder.bind(("127.0.0.1", 0))
+        yield f"127.0.0.1:{holder.getsockname()[1]}"
+
+
 Behaviour = Callable[[Seen, asyncio.StreamWriter], Awaitable[None]]
 
 
@@ -72,7 +82,8 @@
 
 
 class Backend:
-    """Answers calls by `behave`; keeps what it saw, apart from probes."""
+    """Answers calls by `behave`; keeps what it saw, apart from probes, and its addresses for as long as it is
+    there: once it is stopped nobody else answers at them."""
 
     def __init__(self, behave: Behaviour = serve_ok) -> None:
         self.behave = behave
@@ -81,12 +92,13 @@
         self.closed: asyncio.Queue[int] = asyncio.Queue()  # connections that the proxy closed
         self.writers: list[asyncio.StreamWriter] = []
         self.address = ""
+        self.held = contextlib.ExitStack()
         self.server: asyncio.Server | None = None
 
     async def start(self) -> Backend:
-        self.server = await asyncio.start_server(self._connection, "127.0.0.1", 0)
-        host, port = self.server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
+        self.address = self.held.enter_context(held_address())
+        host, _, port = self.address.rpartition(":")
+        self.server = await asyncio.start_server(self._connection, host, int(port))
         return self
 
     async def _connection(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
@@ -220,16 +232,6 @@
             return await self.process.wait()
 
 
-@contextlib.contextmanager
-def held_address() -> Iterator[str]:
-    """An address that the system gives to nobody else meanwhile: it is bound here and not listened on, so the
-    program can listen on it, for both sides reuse addresses."""
-    with socket.socket() as holder:
-        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        holder.bind(("127.0.0.1", 0))
-        yield f"127.0.0.1:{holder.getsockname()[1]}"
-
-
 def config(discovery: str, known: dict[str, Any], listen: str, /, **changes: Any) -> dict[str, Any]:
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": changes.pop("sockets", 1024)}
     return {"name": "n0", "listen": listen, "discovery": discovery, "seed": "8c1f30d27a5be964",
