Tests: read the answers of 60 callers as they come, and show what a bad answer was

test_few_long_requests_are_held_at_once read one caller after another, the first of which takes 2 s. A connection that the program ends for good meanwhile (2 s after its answer, with bytes of the body unread) is a reset, and asyncio's reader then raises in place of giving what it holds: told() said 0 for an answer that had come.

The check now shows code, headers and body, and holds the body too.

--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -40,8 +40,9 @@
             await asyncio.sleep(pause)
 
 
-async def fine(node: Proxy) -> bool:
-    return (await (await node.caller()).call("stock", "2" * 16)).code == 200
+async def serves_on(node: Proxy) -> None:
+    reply = await (await node.caller()).call("stock", "2" * 16)
+    assert (reply.code, reply.body) == (200, b"done " + b"2" * 16), (reply.headers, reply.body)
 
 
 ENDLESS = {
@@ -66,7 +67,7 @@
             assert (await caller.answer()).code == code
             assert asyncio.get_running_loop().time() - begun < 1.5
             writing.cancel()
-            assert await fine(node)
+            await serves_on(node)
 
     run(test())
 
@@ -169,7 +170,7 @@
                 with contextlib.suppress(ConnectionError):
                     await caller.reader.read()
             writing.cancel()
-            assert await fine(node)
+            await serves_on(node)
 
     run(test())
 
@@ -199,7 +200,7 @@
             caller = await node.caller()
             caller.writer.write(b"POST /canje" + HEAD + rest)
             assert await told(caller) == 400
-            assert await fine(node)
+            await serves_on(node)
         assert backend.count == 1  # the last one
 
     run(test())
@@ -224,7 +225,7 @@
             callers = [await node.caller() for _ in range(60)]
             for caller in callers:
                 caller.writer.write(begin + bytes(100_000))
-            codes = [await told(caller) for caller in callers]
+            codes = await asyncio.gather(*(told(caller) for caller in callers))  # read as they come
             assert 0 < codes.count(408) <= 0.1 * (192 - 20) / 0.5 and codes.count(413) >= 20
             assert set(codes) <= {408, 413}
             caller = await node.caller()
