Keep a request's last byte back where bytes that nobody asked for lie unread

Cause: Connection._finish (net/upstream.py) asked only whether the connection ends. Bytes that came after the request's head, and that the loop had not read when the timer for its last byte ran (timers come first where the process stood still), were then read with the request marked as sent: a late second answer to the call before was served as this one's. Found by the state machine over the sockets' ending paths; confirmed by replaying its shortest case. Ruled out: _use asks the same 1 ms earlier, data_received guards what is read before the last byte. Now the byte stays back, the bytes are read, and the call goes out on another connection, for it never ran. The test forces the crossing; without the change it ends in its time-out, as the old bytes answer the second call.

--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -308,8 +308,9 @@
 
     def _finish(self, exchange: Exchange) -> None:
         """The last byte: with it a request may run, and one that may have run can often not be sent again.
-        So it goes only to a connection that took the others without breaking."""
-        if self.exchange is not exchange or self.transport is None or self.pending(ENDED):
+        So it goes only to a connection that took the others without breaking. What came meanwhile and lies
+        unread was not asked for, and would be taken for the answer."""
+        if self.exchange is not exchange or self.transport is None or self.pending(ENDED | select.POLLIN):
             return
         if time.monotonic() >= exchange.send_by:
             exchange.end(Status.MOOT)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -260,6 +260,47 @@
     run(test())
 
 
+def test_bytes_before_the_last_byte_never_answer_the_request(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A second answer arrives between a request and its last byte, and that is written before the loop reads:
+    timers come first where the process stood still."""
+    begin = up.Connection.begin
+    backends: list[socket.socket] = []
+
+    def stalled(connection: up.Connection, exchange: up.Exchange) -> None:
+        begin(connection, exchange)
+        if connection.carried == 2:
+            backends[0].sendall(response(200, b"old"))
+            while not connection.unread():
+                pass
+            connection._finish(exchange)
+
+    monkeypatch.setattr(up.Connection, "begin", stalled)
+
+    async def test() -> None:
+        loop = asyncio.get_running_loop()
+        listener = socket.create_server(("127.0.0.1", 0))
+        listener.setblocking(False)
+        owner = up.Upstreams(1.0, 30.0, most_open=10)
+        entry = ServerEntry(server=1, state=ServerState.SERVING)
+        owner.apply(Listing(1, True, [Listed(listener.getsockname(), entry)]))
+        ended: asyncio.Queue[up.Exchange] = asyncio.Queue()
+        request = b"GET /stock HTTP/1.1\r\n\r\n"
+        async with asyncio.timeout(PATIENCE):
+            for body in (b"old", b"new"):
+                at = owner.by_id[1]
+                owner.start(up.Exchange(at, lambda _: request, 5.0, lambda: True, ended.put_nowait))
+                backend, _ = await loop.sock_accept(listener)
+                backends.append(backend)
+                await whole_request(backend)
+                backend.sendall(response(200, body))
+                assert (await ended.get()).body == body
+        assert owner.counts["broken before the last byte"] == 1
+        for each in (*backends, listener):
+            each.close()
+
+    run(test())
+
+
 def test_a_closed_connection_leaves_no_cycle_behind() -> None:
     """A parser holds its connection: cut by hand, for the cycle collector seldom looks at what is old."""
 
