--- /dev/null
+++ b/tests/test_config_file.py
@@ -0,0 +1,242 @@
+"""The schema of the file, `check`'s reading of it and `run`'s own reader: the three agree on any JSON."""
+
+from __future__ import annotations
+
+import ast
+import copy
+import json
+import math
+import re
+import tempfile
+from collections.abc import Callable
+from functools import reduce
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import HealthCheck, given
+from hypothesis import settings as hypothesis_settings
+from hypothesis import strategies as st
+from netkit import ROOT, config, endpoint, listing
+
+from granitepoint.benchlink import REPORT_VIA, WEIGHTS, read_settings
+from granitepoint.cli import schema
+from granitepoint.cli.check import NO_EFFECT, OUT_OF_RANGE, UNKNOWN, Reading, read
+from granitepoint.interface import Effect
+from granitepoint.net.config import Config, ConfigError, flatten, load
+from granitepoint.net.discovery import read_listing
+
+MANY = hypothesis_settings(
+    max_examples=200, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck)
+)
+
+
+def whole_file() -> dict[str, Any]:
+    """A file with each key of the schema."""
+    raw = config("127.0.0.1:9", listing(1, endpoint("b0", "127.0.0.1:9")), "127.0.0.1:8")
+    more: dict[str, Any] = {
+        "tenants": [{"name": "t", "quota_rps": 4.0, "portion": 0.5}, {"name": "u", "quota_rps": 0}],
+        "kinds": ["m"], "weights": "off", "worth_by": "work", "over_share_worth": 0.5, "family": "chain",
+        "callers": {"marks_retry": True}, "specifics": {"passes_deadline": False, "warm_keys": False},
+        "objective_mix": {"whole": 0.5, "worst_window": 0.5, "worst_class": 0, "worst_tenant": 0},
+        "charges": {key: 0.1 for key in schema.Charges.__struct_fields__},
+    }  # fmt: skip
+    raw["settings"] |= more
+    raw["settings"]["policy_limits"] |= {"peers": False, "streams_per_conn": 1, "cpu_us_per_s": 5e5,
+                                         "cpu_us_per_request": 0.0}  # fmt: skip
+    raw["settings"]["grades"][1] |= {"stream": False, "aim_stretch": 0.0, "late_worth": 0.5}
+    return raw
+
+
+def paths(value: object, path: tuple[Any, ...] = ()) -> list[tuple[Any, ...]]:
+    inner = value.items() if isinstance(value, dict) else enumerate(value) if isinstance(value, list) else ()
+    return [path] * bool(path) + [found for key, item in inner for found in paths(item, (*path, key))]
+
+
+SCALARS: list[Any] = [
+    None, True, False, 0, 1, -1, 63, 64, 1 << 70, -0.0, 0.5, 1.5, 5.0, -1e-320, 1e-320, math.nan, math.inf,
+    "", "0", " 5 ", "1_0", "1e3", "true", "none", "ask", "once", "cell", "a,b", "live", "off", "127.0.0.1:80",
+]  # fmt: skip
+HOLDERS: list[Any] = [
+    [], ["a"], ["busy_reqs", "x"], [{}], {}, {"count": 1}, {"count": "", "0": {}}, {"a": None},
+    {"endpoints": []}, {"index": 1, "snapshot": 0, "endpoints": []}, {"sockets": None}, {"memory_mb": "9"},
+]  # fmt: skip
+ODD: st.SearchStrategy[Any] = st.sampled_from(SCALARS + HOLDERS)
+KEYS = st.text(max_size=8) | st.sampled_from(["contract.cold", "grades.count", "grades.0.name"])
+ANY: st.SearchStrategy[Any] = st.recursive(
+    ODD | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner, max_size=3),
+    max_leaves=6,
+)
+
+
+@st.composite
+def files(draw: st.DrawFn) -> Any:
+    """The whole file with a few places changed, removed or added to; now and then anything at all."""
+    raw = whole_file()
+    for _ in range(draw(st.integers(0, 3))):
+        *outer, last = draw(st.sampled_from(paths(raw)))
+        holder = reduce(lambda value, key: value[key], outer, raw)
+        change = draw(st.sampled_from(["set", "remove", "add", "double"]))
+        if change == "set":
+            holder[last] = copy.deepcopy(draw(ANY))  # those of HOLDERS are shared
+        elif change == "remove":
+            del holder[last]
+        elif change == "double" and isinstance(holder, list):
+            holder.append(copy.deepcopy(holder[last]))
+        elif isinstance(holder, dict):
+            holder[draw(KEYS)] = copy.deepcopy(draw(ANY))
+    return raw if draw(st.integers(0, 9)) else draw(ANY)
+
+
+def run_reads(text: str) -> Config | ConfigError:
+    """What `run` makes of a file, with the list of servers that it takes from it right after."""
+    with tempfile.NamedTemporaryFile("w", encoding="utf-8", suffix=".json") as file:
+        file.write(text)
+        file.flush()
+        try:
+            config = load({"EDGE_CONFIG": file.name})
+            if config.known:
+                read_listing(config.known)
+        except (ConfigError, ValueError) as fault:
+            return ConfigError(str(fault))
+        return config
+
+
+def as_held(reads: str, value: Any, settings: Any) -> Any:
+    """A row's value in the form of the interface's types."""
+    special: dict[str, Callable[[], Any]] = {
+        "effect": lambda: Effect(value),
+        "ask_for_list": lambda: value == "ask",
+        "weights": lambda: WEIGHTS[value],
+        "worth_by_work": lambda: value == "work",
+        "reports": lambda: REPORT_VIA[value],
+        "stages": lambda: len(value) or settings.stage + 1,
+    }
+    return special.get(reads, lambda: value)()
+
+
+def held(path: str, settings: Any) -> tuple[str, Any]:
+    """The attribute that a setting's path is read into, and what it holds."""
+    owner: Any = settings
+    struct: Any = schema.Settings
+    *outer, last = path.split(".")[1:]
+    for step in outer:
+        if step.isdigit():
+            owner = owner[int(step)]
+        elif step in ("grades", "tenants"):
+            owner = settings.classes if step == "grades" else settings.tenants
+            struct = schema.Grade if step == "grades" else schema.Tenant
+        else:
+            struct = msgspec.structs.fields(struct)[struct.__struct_fields__.index(step)].type
+    hint = {field.name: field.type for field in msgspec.structs.fields(struct)}[last]
+    reads = hint.__metadata__[0].extra["reads"]
+    return reads, getattr(owner, reads) if reads else None
+
+
+@MANY
+@given(files())
+def test_check_and_run_agree_on_any_json(raw: Any) -> None:
+    text = json.dumps(raw)
+    made, reading = run_reads(text), read(json.loads(text), {})
+    faults = [finding for finding in reading.findings if finding.kind == OUT_OF_RANGE]
+    assert isinstance(made, Config) == (not faults), (made, faults)
+    assert not [fault for fault in faults if fault.path == "settings" and "missing" not in fault.message]
+    if isinstance(made, ConfigError):
+        assert "\n" not in str(made)
+        return
+    rows = {row.path: row for row in reading.rows}
+    said = [rows[path].value for path in ("name", "limits.sockets", "limits.memory_mb", "seed")]
+    assert said == [made.name, made.sockets, made.memory_mb, f"{made.seed:x}"]
+    for path, row in rows.items():
+        if path.startswith("settings."):
+            reads, value = held(path, made.settings)
+            assert not reads or value == as_held(reads, row.value, made.settings), path
+
+
+@MANY
+@given(files())
+def test_what_fits_the_published_schema_is_in_range(raw: Any) -> None:
+    """But for what it can't say: two classes of one name, a 5.0 that `run` takes for no whole number, a key
+    with a dot, which `run` takes for the key inside."""
+    try:
+        text = json.dumps(raw, allow_nan=False)
+        msgspec.convert(raw, schema.ConfigFile)
+    except ValueError:  # ValidationError is one
+        return
+    if re.search(r'"[^"]*\.[^"]*": ', text):
+        return
+    beside = ("listen", "discovery", "seed", "limits.sockets", "known")
+    for finding in read(raw, {}).findings:
+        said = finding.kind != OUT_OF_RANGE or finding.path.startswith(beside)
+        assert said or "is the name of" in finding.message or "not a whole" in finding.message, finding
+
+
+def change(path: str, value: Any) -> Reading:
+    raw = whole_file()
+    *outer, last = [int(step) if step.isdigit() else step for step in path.split(".")]
+    reduce(lambda inner, key: inner[key], outer, raw)[last] = value  # type: ignore[index]
+    return read(raw, {})
+
+
+def test_the_whole_file_is_usable_and_holds_each_key_of_the_schema() -> None:
+    reading = read(whole_file(), {})
+    assert reading.usable
+    assert not [finding for finding in reading.findings if finding.kind == UNKNOWN]
+    read_settings(flatten(whole_file()["settings"]))
+    msgspec.convert(whole_file(), schema.ConfigFile)
+
+
+@pytest.mark.parametrize("field, value, message", [
+    ("settings.grades.1.deadline", 0, "0.0 must be more than 0"),
+    ("settings.grades.1.name", "stock", "'stock' is the name of settings.grades.0 too"),
+    ("settings.contract.cold_from", 1.1, "1.1 must be at most 1"),
+    ("settings.policy_limits.send_cap", "many", "'many' is not a whole number"),
+    ("settings.discovery", "pull", "'pull' is none of ask, push"),
+    ("settings.tenants.0.quota_rps", math.inf, "'inf' is not finite"),
+    ("limits.memory_mb", 0, "0.0 must be more than 0 and less than 1073741824"),
+    ("known.endpoints.0", {"name": "b"}, "malformed list: KeyError('status')"),
+    ("listen", "here", "not an address: 'here'"),
+    ("seed", "xyz", "'xyz' is neither a whole number nor a string of hex digits"),
+])  # fmt: skip
+def test_a_fault_is_told_with_its_path(field: str, value: Any, message: str) -> None:
+    faults = [finding for finding in change(field, value).findings if finding.kind == OUT_OF_RANGE]
+    assert [(fault.path, fault.message) for fault in faults] == [(field, message)]
+
+
+def test_all_faults_and_all_unknown_keys_are_told_and_variables_come_first() -> None:
+    raw = whole_file()
+    raw |= {"limits": {"sockets": 10, "memory_mb": -1, "cores": 1}, "extra": 1, "discovery": "nowhere"}
+    raw["settings"] |= {"me": -1, "quantum": "soon", "colour": {"a": 1, "b": {"c": 2}}}
+    del raw["settings"]["contract"]["cold"]
+    findings = read(raw, {"EDGE_DISCOVERY": "127.0.0.1:7"}).findings
+    found = {(finding.kind, finding.path) for finding in findings}
+    assert {path for kind, path in found if kind == OUT_OF_RANGE} == {
+        "limits.sockets", "limits.memory_mb", "settings.me", "settings.quantum", "settings.contract.cold",
+    }  # fmt: skip
+    assert {path for kind, path in found if kind == UNKNOWN} == {"extra", "settings.colour"}
+    assert {(NO_EFFECT, "limits.cores"), (NO_EFFECT, "settings.family")} <= found
+
+
+def test_the_published_schema_is_current() -> None:
+    assert (ROOT / "docs" / "config.schema.json").read_text(encoding="utf-8") == schema.published()
+
+
+def test_what_the_schema_says_has_no_effect_is_used_nowhere_and_all_else_is() -> None:
+    used: dict[str, set[str]] = {"settings": set(), "cls": set(), "t": set()}
+    package = ROOT / "granitepoint"
+    for path in [package / "logic.py", *(package / "net").glob("*.py")]:
+        for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
+            if isinstance(node, ast.Attribute):
+                owner = getattr(node.value, "attr", getattr(node.value, "id", ""))
+                used.get(owner, set()).add(node.attr)
+    inner = [field.type for field in msgspec.structs.fields(schema.Settings)]
+    structs: list[Any] = [schema.Grade, schema.Tenant, schema.Settings]
+    structs += [struct for struct in inner if isinstance(struct, type) and issubclass(struct, msgspec.Struct)]
+    assert schema.Charges in structs
+    for struct in structs:
+        owner = {schema.Grade: "cls", schema.Tenant: "t"}.get(struct, "settings")
+        for field in msgspec.structs.fields(struct):
+            extra = getattr(field.type, "__metadata__", [msgspec.Meta()])[0].extra
+            if extra and extra["reads"]:
+                assert (extra["reads"] in used[owner]) == (not extra["unused"]), (struct, field.name)
