--- a/granitepoint/cli/check.py
+++ b/granitepoint/cli/check.py
@@ -6,6 +6,7 @@
 import math
 import resource
 from collections.abc import Iterable, Mapping
+from functools import cache
 from itertools import accumulate
 from pathlib import Path
 from typing import Any
@@ -28,13 +29,14 @@
     """The file can't be read as JSON; the message is one line."""
 
 
-class Row(Struct):
-    """A value in force. `source`: "file", "default", "process limit" or the variable that comes first."""
+class Row(Struct, omit_defaults=True):
+    """A value as read. `source`: "file", "default", "process limit" or the variable that comes first."""
 
     path: str
     value: Any
     unit: str
     source: str
+    in_force: bool = True  # changes something
 
 
 class Finding(Struct):
@@ -132,6 +134,7 @@
     return info, {}
 
 
+@cache
 def _fields(struct: type[Struct]) -> tuple[types.Field, ...]:
     info = types.type_info(struct)
     assert isinstance(info, types.StructType)
@@ -207,7 +210,7 @@
             else:
                 default = field.default if field.default is not NODEFAULT else field.default_factory()
                 value = tuple(default) if isinstance(default, list) else default
-                self.reading.rows.append(Row(path, value, unit, "default"))
+                self.reading.rows.append(Row(path, value, unit, "default", not unused))
             return
         if unused:
             self.reading.findings.append(Finding(NO_EFFECT, path, unused))
@@ -219,7 +222,7 @@
         except ValueError as fault:
             self.fault(path, str(fault))
             return
-        self.reading.rows.append(Row(path, value, unit, "file"))
+        self.reading.rows.append(Row(path, value, unit, "file", not unused))
 
     def unknown(self) -> None:
         known = _prefixes(self.asked)
@@ -272,6 +275,9 @@
         for key in ("listen", "discovery"):
             variable = "EDGE_" + key.upper()
             told = self.environ.get(variable)
+            if not told and self.raw.get(key) is None:
+                self.fault(key, "missing")
+                continue
             try:
                 address(told or self.raw.get(key))
                 self.put(key, told or self.raw.get(key), source=variable if told else "file")
--- a/granitepoint/cli/schema.py
+++ b/granitepoint/cli/schema.py
@@ -122,7 +122,7 @@
     ]  # fmt: skip
     drain_grace: Annotated[
         float,
-        _meta("in which sends to a draining server end", SECONDS, "drain_grace", "it ends at once", ge=0),
+        _meta("in which sends to a draining server end", SECONDS, "drain_grace", "they end at once", ge=0),
     ]
     cold_from: Annotated[
         float, _meta("of its capacity that a server starts with", SHARE, "cold_from", gt=0, le=1)
@@ -133,7 +133,7 @@
     ]
     overload_for: Annotated[
         float,
-        _meta("for which it bears more", SECONDS, "fall_within", "the budget holds over any span", gt=0),
+        _meta("for which it bears more", SECONDS, "fall_within", "the cold budget holds over any span", gt=0),
     ]
     must_ask_in: Annotated[
         float, _meta("longest time without a watch or a question", SECONDS, "must_ask_within", gt=0)
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -1,15 +1,39 @@
-"""The example in the README runs as it stands."""
+"""The examples in the README run as they stand."""
 
 from __future__ import annotations
 
 import re
+import shlex
+import subprocess
+import sys
 from pathlib import Path
 
 import pytest
 
+README = Path(__file__).parent.parent / "README.md"
+
 
 def test_example(capsys: pytest.CaptureFixture[str]) -> None:
-    text = (Path(__file__).parent.parent / "README.md").read_text(encoding="utf-8")
+    text = README.read_text(encoding="utf-8")
     (code,) = re.findall(r"```python\n(.*?)```", text, re.S)
     exec(compile(code, "README.md", "exec"), {"__name__": "readme"})
     assert capsys.readouterr().out == "call 42 goes out, to be answered within 0.5 s\n"
+
+
+def test_command_line() -> None:
+    """Each command prints what the page says, but for the numbers of versions."""
+    text = README.read_text(encoding="utf-8")
+    said = "".join(re.findall(r"```console\n(.*?)```", text, re.S)).splitlines(True)
+    got: list[str] = []
+    for line in said:
+        if line.startswith("$ "):
+            program = f"{shlex.quote(sys.executable)} -m granitepoint "
+            done = subprocess.run(
+                ["sh", "-c", line[2:].replace("granitepoint ", program, 1)],
+                stdout=subprocess.PIPE, stderr=subprocess.STDOUT, text=True, cwd=README.parent, timeout=60,
+            )  # fmt: skip
+            got += [line, *done.stdout.splitlines(True)]
+    version = re.compile(r"^(\w+) \d+(\.\w+)+$")
+    assert [version.sub(r"\1", line) for line in got] == [version.sub(r"\1", line) for line in said]
+    for command in ("run", "check", "explain", "schema", "version"):
+        assert any(f"granitepoint {command}" in line for line in said if line.startswith("$ ")), command
