check: tells what is in range but hardly meant, and bounds its work on odd keys

An address whose host is no numeric one, a number beyond the tier, memory that the process alone takes, an objective past its deadline, a window in which no repeat is in time: run takes them, so they are no fault, but each is worth a line.

--- a/granitepoint/cli/app.py
+++ b/granitepoint/cli/app.py
@@ -144,8 +144,9 @@
 def check(config: Config, /, *, json: Json = False) -> int:
     """Read a configuration as run does: print what would be in force and all that is wrong.
 
-    Keys that are unknown or have no effect are listed with their paths; they are no fault. Each value out of
-    range is one: exit code 2. EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY come first, as for run.
+    Keys that are unknown or have no effect, and values hardly meant, are listed with their paths, and
+    are no fault. Each value out of range is one: exit code 2. EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY come
+    first, as for run.
     """
     reading = checking.read(checking.read_file(config), os.environ)
     rows = [row for row in reading.rows if row.in_force]
@@ -154,7 +155,7 @@
     else:
         print(f"in force{'' if reading.usable else ', were the rest usable'}:")
         _print_table([[row.path, _figure(row.value, row.unit), row.source] for row in rows] or [["-"]])
-        for kind in (checking.NO_EFFECT, checking.UNKNOWN, checking.OUT_OF_RANGE):
+        for kind in (checking.NO_EFFECT, checking.UNKNOWN, checking.DOUBTFUL, checking.OUT_OF_RANGE):
             if found := _findings(reading.findings, kind):
                 print(f"{kind}:")
                 _print_table(found)
--- a/granitepoint/cli/check.py
+++ b/granitepoint/cli/check.py
@@ -7,6 +7,7 @@
 import resource
 from collections.abc import Iterable, Mapping
 from functools import cache
+from ipaddress import ip_address
 from itertools import accumulate
 from pathlib import Path
 from typing import Any
@@ -18,10 +19,12 @@
 from granitepoint.cli import schema
 from granitepoint.net.config import address, flatten
 from granitepoint.net.discovery import read_listing
+from granitepoint.net.server import BASE_MEMORY
 
 LARGEST = 64 << 20  # bytes of a file; a list of 100,000 servers takes a third of it
-MOST_SHOWN = 60  # characters of a value in a message
-UNKNOWN, NO_EFFECT, OUT_OF_RANGE = "unknown", "no effect", "out of range"
+DEEPEST = 5  # names in a path: one more than settings.grades.0.name has
+MOST_SHOWN, MOST_SAID = 60, 200  # characters of a value in a message, and of one of the reader's own messages
+UNKNOWN, NO_EFFECT, DOUBTFUL, OUT_OF_RANGE = "unknown", "no effect", "doubtful", "out of range"
 EMPTY_IS_DEFAULT = ("settings.weights", "settings.worth_by", "settings.report.via")
 
 
@@ -40,7 +43,7 @@
 
 
 class Finding(Struct):
-    kind: str  # UNKNOWN, NO_EFFECT or OUT_OF_RANGE
+    kind: str  # UNKNOWN, NO_EFFECT, DOUBTFUL (in range, but hardly meant) or OUT_OF_RANGE
     path: str
     message: str
 
@@ -85,6 +88,10 @@
     return text if len(text) <= MOST_SHOWN else text[:MOST_SHOWN] + "..."
 
 
+def _said(fault: Exception) -> str:
+    return " ".join(str(fault)[:MOST_SAID].split())
+
+
 def _read_text(info: types.Type, text: str, micro: bool) -> Any:
     """A setting as `run` reads it. Raises ValueError."""
     if isinstance(info, types.IntType):
@@ -142,7 +149,12 @@
 
 
 def _prefixes(paths: Iterable[str]) -> set[str]:
-    return {prefix for path in paths for prefix in accumulate(path.split("."), "{}.{}".format)}
+    return {prefix for path in paths for prefix in _steps(path)}
+
+
+def _steps(path: str) -> Iterable[str]:
+    """`a`, `a.b` and so on, no deeper than one step below any setting."""
+    return accumulate(path.split(".", DEEPEST)[:DEEPEST], "{}.{}".format)
 
 
 class _Settings:
@@ -229,8 +241,7 @@
         found: dict[str, str] = {}
         for path in self.pairs:
             if path not in self.asked:
-                steps = accumulate(path.split("."), "{}.{}".format)
-                first = next((step for step in steps if step not in known), None)
+                first = next((step for step in _steps(path) if step not in known), None)
                 found[first or path] = "no such setting" if first else "not in a form that is read"
         self.reading.findings += [Finding(UNKNOWN, path, message) for path, message in found.items()]
 
@@ -249,7 +260,7 @@
         try:
             read_settings(pairs)
         except ValueError as fault:  # what only `run`'s own reader knows
-            reader.fault("settings", " ".join(str(fault).split()))
+            reader.fault("settings", _said(fault))
     return reader.reading
 
 
@@ -282,7 +293,7 @@
                 address(told or self.raw.get(key))
                 self.put(key, told or self.raw.get(key), source=variable if told else "file")
             except ValueError as fault:
-                self.fault(key, f"{fault}, from {variable}" if told else str(fault))
+                self.fault(key, _said(fault) + f", from {variable}" * bool(told))
 
     def name(self) -> None:
         told = self.environ.get("EDGE_NAME")
@@ -326,6 +337,7 @@
             return
         if sockets < 64:
             self.fault("limits.sockets", f"{sockets} must be at least 64")
+            return
         source = "process limit" if "sockets" not in limits or int(told) > soft else "file"
         self.put("limits.sockets", sockets, "descriptors", source)
 
@@ -338,6 +350,7 @@
             return
         if not 0 < memory < 1 << 30:
             self.fault("limits.memory_mb", f"{memory} must be more than 0 and less than {1 << 30}")
+            return
         self.put("limits.memory_mb", memory, schema.MEGABYTES, "file" if "memory_mb" in limits else "default")
 
     def known(self) -> None:
@@ -366,15 +379,41 @@
             try:
                 read_listing({"index": 0, "snapshot": True, "endpoints": [server]})
             except (ValueError, RecursionError) as fault:
-                self.fault(f"known.endpoints.{number}", " ".join(str(fault).split()))
+                self.fault(f"known.endpoints.{number}", _said(fault))
         try:
             read_listing({**known, "endpoints": []})
         except (ValueError, RecursionError) as fault:
-            self.fault("known", " ".join(str(fault).split()))
+            self.fault("known", _said(fault))
         if len(self.reading.findings) == before:
             self.fault("known.endpoints", "missing, or not a list of servers")
 
 
+def _doubts(rows: Iterable[Row]) -> Iterable[tuple[str, str]]:
+    """Paths and what is odd about them, though `run` takes it."""
+    values = {row.path: row.value for row in rows}
+    for key in ("listen", "discovery"):
+        if key not in values:
+            continue
+        try:
+            version = ip_address(address(values[key])[0]).version
+            if key == "listen" and version != 4:
+                yield key, "only IPv4 is listened on"
+        except ValueError:
+            yield key, "the host is not a numeric address"
+    if values.get("settings.me", 0) >= values.get("settings.balancers", math.inf):
+        yield "settings.me", "not less than balancers"
+    if 0 < len(values.get("settings.stages", ())) <= values.get("settings.stage", 0):
+        yield "settings.stage", "not a place in stages"
+    if values.get("limits.memory_mb", math.inf) <= BASE_MEMORY:
+        yield "limits.memory_mb", f"the process alone takes {BASE_MEMORY} MB"
+    for path, value in values.items():
+        item, _, last = path.rpartition(".")
+        if last == "deadline" and values.get(item + ".objective", 0.0) > value:
+            yield item + ".objective", "longer than the deadline"
+        if last == "effect" and value == "by_key" and values.get(item + ".window") == 0:
+            yield item + ".window", "no repeat is ever in time"
+
+
 def read(raw: object, environ: Mapping[str, str]) -> Reading:
     """What `run` would make of a file with this content, under these variables: all values and all faults."""
     if not isinstance(raw, dict):
@@ -387,4 +426,6 @@
     top.known()
     top.unknown(raw, schema.ConfigFile, "")
     settings = _read_settings(raw.get("settings"))
-    return Reading(top.reading.rows + settings.rows, top.reading.findings + settings.findings)
+    rows = top.reading.rows + settings.rows
+    doubts = [Finding(DOUBTFUL, path, message) for path, message in _doubts(rows)]
+    return Reading(rows, top.reading.findings + settings.findings + doubts)
--- a/tests/test_config_file.py
+++ b/tests/test_config_file.py
@@ -21,7 +21,7 @@
 
 from granitepoint.benchlink import REPORT_VIA, WEIGHTS
 from granitepoint.cli import schema
-from granitepoint.cli.check import NO_EFFECT, OUT_OF_RANGE, UNKNOWN, read
+from granitepoint.cli.check import DOUBTFUL, NO_EFFECT, OUT_OF_RANGE, UNKNOWN, read
 from granitepoint.interface import Effect, Settings
 from granitepoint.net.config import Config, ConfigError, load
 from granitepoint.net.discovery import read_listing
@@ -197,6 +197,17 @@
     assert {(NO_EFFECT, "limits.cores"), (NO_EFFECT, "settings.family")} <= found
 
 
+def test_what_is_hardly_meant_is_told_and_is_no_fault() -> None:
+    raw = whole_file() | {"listen": "[::1]:80", "discovery": "here:80", "limits": {"memory_mb": 19}}
+    raw["settings"] |= {"me": 1, "stage": 1}
+    raw["settings"]["grades"][1] |= {"window": 0, "objective": 5.0}
+    reading = read(raw, {})
+    assert reading.usable and [finding.path for finding in reading.findings if finding.kind == DOUBTFUL] == [
+        "listen", "discovery", "settings.me", "settings.stage", "limits.memory_mb",
+        "settings.grades.1.objective", "settings.grades.1.window",
+    ]  # fmt: skip
+
+
 def test_the_published_schema_is_current() -> None:
     assert (ROOT / "docs" / "config.schema.json").read_text(encoding="utf-8") == schema.published()
 
