Use a connection that came up while the process stood still

Cause: the time to connect was held by asyncio.timeout (net/upstream.py, _connect), whose timer comes before the sockets. A pause longer than connect_timeout (0.15 to 0.25 s) ended a connect that had come up long ago as CONNECT_FAILED, which counts against its server. Elsewhere (time-outs of attempts and of calls) one turn of the loop is allowed after a stall; now here too. Found by stopping the program under test now and then.

--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -492,8 +492,7 @@
         connection = Connection(upstream)
         at, since = upstream.address, upstream.started_at
         try:
-            async with asyncio.timeout(self.connect_timeout):
-                await self.loop.create_connection(lambda: connection, *at)
+            await self._open(connection, at)
             if (at, since) != (upstream.address, upstream.started_at):
                 raise ConnectionError("the backend is another one by now")
             if connection.transport is None:
@@ -510,6 +509,21 @@
             connection.abandon()
             exchange.end(Status.RESET)
 
+    async def _open(self, connection: Connection, at: Address) -> None:
+        """Raises OSError, TimeoutError too. Where this process stood still, its timers come before its
+        sockets: the connection may have come up long ago."""
+        due = time.monotonic() + self.connect_timeout
+        opening = self.loop.create_task(self.loop.create_connection(lambda: connection, *at))
+        await asyncio.wait([opening], timeout=self.connect_timeout)
+        if not opening.done() and time.monotonic() > due + LATE:
+            await asyncio.wait([opening], timeout=ONE_TURN)
+        if not opening.done():
+            opening.cancel()
+            await asyncio.wait([opening])
+        if opening.cancelled():
+            raise TimeoutError
+        opening.result()
+
     def _spare_one(self) -> bool:
         """At the bound, the connection that is idle the longest makes room."""
         idle = [c for upstream in self.by_id.values() for c in upstream.idle[:1]]
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -7,6 +7,8 @@
 import contextlib
 import socket
 import struct
+import time
+from typing import Any
 
 import httptools
 import pytest
@@ -260,6 +262,35 @@
     run(test())
 
 
+def test_a_connection_that_came_up_while_the_process_stood_still_is_used(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """The stall is longer than the time to connect, and the timer for that comes before the socket."""
+
+    async def test() -> None:
+        backend = await Backend().start()
+        host, _, port = backend.address.rpartition(":")
+        owner = up.Upstreams(0.02, 30.0, most_open=10)
+        owner.apply(Listing(1, True, [Listed((host, int(port)), ServerEntry(server=1))]))
+        connect = owner.loop.create_connection
+
+        async def stalled(factory: Any, host: str, port: int) -> Any:
+            connecting = owner.loop.create_task(connect(factory, host, port))
+            await asyncio.sleep(0)  # it has begun
+            time.sleep(0.1)
+            return await connecting
+
+        monkeypatch.setattr(owner.loop, "create_connection", stalled)
+        ended: asyncio.Queue[up.Exchange] = asyncio.Queue()
+        request = b"GET /stock HTTP/1.1\r\nX-Call-Id: 1\r\n\r\n"
+        owner.start(up.Exchange(owner.by_id[1], lambda _: request, 5.0, lambda: True, ended.put_nowait))
+        async with asyncio.timeout(PATIENCE):
+            assert (await ended.get()).status is Status.OK
+        await backend.stop()
+
+    run(test())
+
+
 def test_bytes_before_the_last_byte_never_answer_the_request(monkeypatch: pytest.MonkeyPatch) -> None:
     """A second answer arrives between a request and its last byte, and that is written before the loop reads:
     timers come first where the process stood still."""
