Refuse addresses that are no IPv4 address, and seeds over 256 bits, in one plain line

Cause: net/config.py took any text with a port. '[::1]:0' and a NUL ended run with a traceback or exit 1, '[]:0' listened on all interfaces, a name was looked up although there is no DNS; a seed of some thousand digits ended in a traceback as it was printed for another generator; a class's name went to the log with its control characters. Backends' addresses in lists are read as before.

--- a/granitepoint/cli/check.py
+++ b/granitepoint/cli/check.py
@@ -7,7 +7,6 @@
 import resource
 from collections.abc import Iterable, Mapping
 from functools import cache
-from ipaddress import ip_address
 from itertools import accumulate
 from pathlib import Path
 from typing import Any
@@ -17,7 +16,7 @@
 
 from granitepoint.benchlink import read_settings
 from granitepoint.cli import schema
-from granitepoint.net.config import address, flatten
+from granitepoint.net.config import flatten, own_address, read_seed
 from granitepoint.net.discovery import read_listing
 from granitepoint.net.server import BASE_MEMORY
 
@@ -290,7 +289,7 @@
                 self.fault(key, "missing")
                 continue
             try:
-                address(told or self.raw.get(key))
+                own_address(told or self.raw.get(key))
                 self.put(key, told or self.raw.get(key), source=variable if told else "file")
             except ValueError as fault:
                 self.fault(key, _said(fault) + f", from {variable}" * bool(told))
@@ -306,10 +305,10 @@
     def seed(self) -> None:
         seed = self.raw.get("seed", 0)
         try:
-            value = int(seed, 16) if isinstance(seed, str) else int(str(seed))
+            value = read_seed(seed)
             self.put("seed", f"{value:x}", "hex", "file" if "seed" in self.raw else "default")
         except (ValueError, RecursionError):
-            self.fault("seed", f"{shown(seed)} is neither a whole number nor a string of hex digits")
+            self.fault("seed", f"{shown(seed)} is no whole number or hex digits, of 256 bits at most")
 
     def limits(self) -> None:
         limits = self.raw.get("limits") or {}
@@ -391,15 +390,6 @@
 def _doubts(rows: Iterable[Row]) -> Iterable[tuple[str, str]]:
     """Paths and what is odd about them, though `run` takes it."""
     values = {row.path: row.value for row in rows}
-    for key in ("listen", "discovery"):
-        if key not in values:
-            continue
-        try:
-            version = ip_address(address(values[key])[0]).version
-            if key == "listen" and version != 4:
-                yield key, "only IPv4 is listened on"
-        except ValueError:
-            yield key, "the host is not a numeric address"
     if values.get("settings.me", 0) >= values.get("settings.balancers", math.inf):
         yield "settings.me", "not less than balancers"
     if 0 < len(values.get("settings.stages", ())) <= values.get("settings.stage", 0):
--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -6,6 +6,7 @@
 import resource
 from collections.abc import Mapping
 from dataclasses import dataclass
+from ipaddress import IPv4Address
 from pathlib import Path
 from typing import Any
 
@@ -13,6 +14,7 @@
 from granitepoint.interface import Settings
 
 Address = tuple[str, int]
+MOST_SEED = 1 << 256
 
 
 class ConfigError(Exception):
@@ -41,6 +43,12 @@
     return host.strip("[]"), int(port)
 
 
+def own_address(text: object) -> Address:
+    """Where this proxy listens, or asks: sockets are IPv4 alone, and a name would be looked up nowhere."""
+    host, port = address(text)
+    return str(IPv4Address(host)), port
+
+
 def flatten(value: object, path: str = "", into: dict[str, str] | None = None) -> dict[str, str]:
     """The settings object as the simulator's flat path=value pairs, so that both have one reader."""
     pairs = {} if into is None else into
@@ -62,8 +70,11 @@
     return pairs
 
 
-def _seed(text: object) -> int:
-    return int(text, 16) if isinstance(text, str) else int(str(text))
+def read_seed(text: object) -> int:
+    seed = int(text, 16) if isinstance(text, str) else int(str(text))
+    if abs(seed) >= MOST_SEED:
+        raise ValueError("no such seed: over 256 bits")
+    return seed
 
 
 def _read_file(environ: Mapping[str, str]) -> dict[str, Any]:
@@ -77,7 +88,9 @@
 
 
 def _error(fault: Exception) -> ConfigError:
-    return ConfigError(" ".join(f"bad configuration: {fault}".split()))
+    """One line, and no control characters of what the file holds."""
+    text = " ".join(f"bad configuration: {fault}".split())
+    return ConfigError("".join(char if char.isprintable() else ascii(char)[1:-1] for char in text))
 
 
 def load(environ: Mapping[str, str]) -> Config:
@@ -99,9 +112,9 @@
             raise ValueError(f"no such memory: {memory_mb}")
         return Config(
             name=environ.get("EDGE_NAME") or str(raw.get("name", "")),
-            listen=address(environ.get("EDGE_LISTEN") or raw.get("listen")),
-            discovery=address(environ.get("EDGE_DISCOVERY") or raw.get("discovery")),
-            seed=_seed(raw.get("seed", 0)),
+            listen=own_address(environ.get("EDGE_LISTEN") or raw.get("listen")),
+            discovery=own_address(environ.get("EDGE_DISCOVERY") or raw.get("discovery")),
+            seed=read_seed(raw.get("seed", 0)),
             sockets=sockets,
             memory_mb=memory_mb,
             known=known,
@@ -115,6 +128,6 @@
     """The address of discovery as the file has it now. EDGE_DISCOVERY does not override it: a process keeps
     the variables it was started with, so a reload could never change anything."""
     try:
-        return address(_read_file(environ).get("discovery"))
+        return own_address(_read_file(environ).get("discovery"))
     except (OSError, ValueError, RecursionError) as fault:
         raise _error(fault) from None
--- a/tests/test_config_file.py
+++ b/tests/test_config_file.py
@@ -209,16 +209,40 @@
 
 
 def test_what_is_hardly_meant_is_told_and_is_no_fault() -> None:
-    raw = whole_file() | {"listen": "[::1]:80", "discovery": "here:80", "limits": {"memory_mb": 19}}
+    raw = whole_file() | {"limits": {"memory_mb": 19}}
     raw["settings"] |= {"me": 1, "stage": 1}
     raw["settings"]["grades"][1] |= {"window": 0, "objective": 5.0}
     reading = read(raw, {})
     settings = ["me", "stage", "grades.1.objective", "grades.1.window"]
-    doubts = {"listen", "discovery", "limits.memory_mb"} | {f"settings.{path}" for path in settings}
+    doubts = {"limits.memory_mb"} | {f"settings.{path}" for path in settings}
     assert reading.usable
     assert {finding.path for finding in reading.findings if finding.kind == DOUBTFUL} == doubts
 
 
+@pytest.mark.parametrize("host", ["[::1]", "[]", "here", "\x00", "..", "1.2.3", ""])
+@pytest.mark.parametrize("key", ["listen", "discovery"])
+def test_a_host_that_is_no_ipv4_address_is_out_of_range(key: str, host: str) -> None:
+    raw = whole_file() | {key: f"{host}:80"}
+    findings = read(raw, {}).findings
+    assert [finding.path for finding in findings if finding.kind == OUT_OF_RANGE] == [key]
+    assert isinstance(run_reads(json.dumps(raw)), ConfigError)
+
+
+@pytest.mark.parametrize("seed", ["f" * 65, 1 << 256, -(1 << 256)], ids=["text", "over", "under"])
+def test_a_seed_that_nothing_can_print_is_out_of_range(seed: object) -> None:
+    raw = whole_file() | {"seed": seed}
+    findings = read(raw, {}).findings
+    assert [finding.path for finding in findings if finding.kind == OUT_OF_RANGE] == ["seed"]
+    assert isinstance(run_reads(json.dumps(raw)), ConfigError)
+
+
+def test_a_fault_shows_no_control_characters_of_the_file() -> None:
+    raw = whole_file()
+    raw["settings"]["grades"][0] |= {"name": "\x1b[31mred", "deadline": -1}
+    fault = run_reads(json.dumps(raw))
+    assert isinstance(fault, ConfigError) and "[31mred deadline" in str(fault) and str(fault).isprintable()
+
+
 def test_the_published_schema_is_current() -> None:
     assert (ROOT / "docs" / "config.schema.json").read_text(encoding="utf-8") == schema.published()
 
