--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -112,8 +112,8 @@
 # -- obligations -----------------------------------------------------------------------------------------
 class Attempt:
     __slots__ = (
-        "call", "counted", "idle", "late", "load", "lost", "number", "opened", "rescued", "sent_at",
-        "server", "status",
+        "blamed", "call", "counted", "idle", "late", "load", "lost", "number", "opened", "rescued",
+        "sent_at", "server", "status",
     )
 
     def __init__(self, call: Call, number: int, server: Server, sent_at: float, load: float) -> None:
@@ -123,6 +123,7 @@
         self.late = False  # has been counted as late
         self.idle = 0.0  # s that the connection had not been used; 0: in use or new
         self.opened = False  # the connection was new
+        self.blamed = False  # has been counted as a sign against its server
         self.rescued = False
         self.lost = False  # overtaken for so long that its connection is at fault, not its server
 
@@ -280,7 +281,7 @@
         self.group, self.window = cls.group, cls.window
         self.late_counts = cls.late_worth > 0
         # The target of an inner call: a caller makes about two calls, one after another, at each tier.
-        self.least_target = TARGET * cls.aim / 2**stage
+        self.least_target = TARGET * cls.aim * 0.5**stage
         # Until the unhurried latency is known the target is the loosest: where an instance sees a call a
         # second, a guess of the unhurried latency that is too low closes W on a quiet day and keeps it shut.
         self.target = MOST_TARGET * cls.aim
@@ -803,7 +804,9 @@
                 self.quota_left[event.tenant] -= 1
             else:
                 worth *= self.settings.over_share_worth
-        left = self.aim_left(cls, event.budget, event.resent)
+        # What the client said, not what is left of it: a pause of this instance is no wait of the client's.
+        stated = event.stated if 0 < event.stated < math.inf else event.budget
+        left = self.aim_left(cls, stated, event.resent)
         useful = event.budget if cls.late_counts else min(event.budget, left)
         call = Call(event.call, cls, worth, now, now + event.budget, now + useful)
         self.gate.calls[call.id] = call
@@ -1083,13 +1086,17 @@
                 stuck.append(attempt)
         self.admission.age = total / counted if counted else 0.0
         for attempt in stuck:
-            server = attempt.server
-            if server.last_ok < attempt.sent_at and not server.ejected_until:
-                attempt.rescued = True
+            server, cls = attempt.server, attempt.call.cls
+            known = cls.mean.count > 0
+            if server.last_ok < attempt.sent_at and not server.ejected_until and not attempt.blamed:
+                attempt.blamed, attempt.rescued = True, known
                 server.slow_streak += 1
                 if server.slow_streak >= 2 or server.trial:
                     self.eject(server, hard=False)
-            self.rescue(attempt)
+            # Before its first answer an instance knows nothing of what lies below, and the further attempts
+            # of all that have just started multiply along a chain. Harm: first calls on a hung server stay.
+            if known or now - attempt.sent_at > cls.target:
+                self.rescue(attempt)
 
     def overtaken(self, attempt: Attempt) -> bool:
         """Whether its server has served what was sent after it, or reports fewer calls in hand than this
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -308,8 +308,9 @@
 
     def _finish(self, exchange: Exchange) -> None:
         """The last byte: with it a request may run, and one that may have run can often not be sent again.
-        So it goes only to a connection that took the others without breaking."""
-        if self.exchange is not exchange or self.transport is None or self.pending(ENDED):
+        So it goes only to a connection that took the others without breaking. What came meanwhile and lies
+        unread was not asked for, and would be taken for the answer."""
+        if self.exchange is not exchange or self.transport is None or self.pending(ENDED | select.POLLIN):
             return
         if time.monotonic() >= exchange.send_by:
             exchange.end(Status.MOOT)
@@ -491,8 +492,7 @@
         connection = Connection(upstream)
         at, since = upstream.address, upstream.started_at
         try:
-            async with asyncio.timeout(self.connect_timeout):
-                await self.loop.create_connection(lambda: connection, *at)
+            await self._open(connection, at)
             if (at, since) != (upstream.address, upstream.started_at):
                 raise ConnectionError("the backend is another one by now")
             if connection.transport is None:
@@ -509,6 +509,21 @@
             connection.abandon()
             exchange.end(Status.RESET)
 
+    async def _open(self, connection: Connection, at: Address) -> None:
+        """Raises OSError, TimeoutError too. Where this process stood still, its timers come before its
+        sockets: the connection may have come up long ago."""
+        due = time.monotonic() + self.connect_timeout
+        opening = self.loop.create_task(self.loop.create_connection(lambda: connection, *at))
+        await asyncio.wait([opening], timeout=self.connect_timeout)
+        if not opening.done() and time.monotonic() > due + LATE:
+            await asyncio.wait([opening], timeout=ONE_TURN)
+        if not opening.done():
+            opening.cancel()
+            await asyncio.wait([opening])
+        if opening.cancelled():
+            raise TimeoutError
+        opening.result()
+
     def _spare_one(self) -> bool:
         """At the bound, the connection that is idle the longest makes room."""
         idle = [c for upstream in self.by_id.values() for c in upstream.idle[:1]]
