--- a/granitepoint/modelcheck/endings.py
+++ b/granitepoint/modelcheck/endings.py
@@ -121,7 +121,7 @@
 
     def got(self, data: bytes) -> None:
         self.heard_at = self.model.clock.now
-        if self.crossing and self.left_at is None and self.may_ask:
+        if self.crossing and self.left_at is None and not self.half:
             self.crossing = False
             self.send(self.model.request(self, BY_NAME["read"], 1.0))
         if self.left_at is None:
@@ -478,9 +478,10 @@
         log.removeHandler(self.errors)
         log.setLevel(self.level)
         log.propagate = True
-        for task in asyncio.all_tasks(self.loop):
-            task.cancel()
-        self.loop.run_until_complete(asyncio.sleep(0))
+        while tasks := asyncio.all_tasks(self.loop):
+            for task in tasks:
+                task.cancel()
+            self.loop.run_until_complete(asyncio.wait(tasks))
         self.loop.close()
 
 
@@ -591,7 +592,7 @@
     @rule(which=st.integers(0, 9))
     def ask_when_answered(self, which: int) -> None:
         client = self.client_at(which)
-        if client is not None and client.good and client.may_ask:
+        if client is not None and client.good and not client.half:
             client.crossing = True
 
     @rule(which=st.integers(0, 9), heard=st.booleans())
--- a/granitepoint/modelcheck/obligations.py
+++ b/granitepoint/modelcheck/obligations.py
@@ -68,13 +68,16 @@
         tenant=st.sampled_from(["", "acme", "beta", "unheard of"]),
         work=st.sampled_from([0.0, 0.01, 5.0, -1.0]),
         resent=st.booleans(),
+        stated=st.sampled_from([0.0, 0.2, 3.0]),
     )
-    def arrive(self, count: int, cls: int, budget: float, tenant: str, work: float, resent: bool) -> None:
+    def arrive(
+        self, count: int, cls: int, budget: float, tenant: str, work: float, resent: bool, stated: float
+    ) -> None:
         classes = self.world.settings.classes
         for _ in range(count):
             self.last_id += 1
             name = classes[cls % len(classes)].name
-            self.world.arrive(Arrival(self.last_id, name, budget, tenant, work, resent))
+            self.world.arrive(Arrival(self.last_id, name, budget, tenant, work, resent, stated=stated))
 
     @rule(cls=st.sampled_from(["unheard of", *draw.NAMES]), budget=st.sampled_from([0.0, -1.0, math.inf]))
     def arrive_odd(self, cls: str, budget: float) -> None:
