--- a/granitepoint/modelcheck/draw.py
+++ b/granitepoint/modelcheck/draw.py
@@ -75,12 +75,10 @@
 Line = tuple[int, ServerState, bool, float]  # server, state, whether it has just started, weight
 lines = st.tuples(
     st.integers(1, SERVERS),
-    st.sampled_from([ServerState.SERVING, ServerState.SERVING, ServerState.DRAINING, ServerState.GONE]),
+    st.sampled_from([ServerState.SERVING, ServerState.DRAINING, ServerState.GONE]),
     st.booleans(),
     st.sampled_from([0.0, 0.5, 1.0, 4.0]),
 )
-kinds = st.sampled_from(
-    [ListKind.INCREMENTAL, ListKind.INCREMENTAL, ListKind.FULL, ListKind.SAVED, ListKind.FAILED]
-)
+kinds = st.sampled_from([*[ListKind.FULL, ListKind.INCREMENTAL] * 2, ListKind.SAVED, ListKind.FAILED])
 figures = st.sampled_from([0.0, 1.0, 7.5, 40.0, 1e6, -1.0, math.inf])
 reports = st.one_of(st.none(), st.dictionaries(st.sampled_from(["busy_reqs", "pending", "odd"]), figures))
--- a/granitepoint/modelcheck/endings.py
+++ b/granitepoint/modelcheck/endings.py
@@ -61,12 +61,22 @@
         budget=st.sampled_from([2.0, 1.0, 0.25, 0.05]),
         last=st.booleans(),
         cut=st.sampled_from([0, 0, 0, 1, 3, 30]),
+        crossing=st.booleans(),
         span=st.sampled_from([0.01, -1.0, 0.0, 0.002, 0.1]),
     )
     def ask(
-        self, which: int, new: bool, names: list[str], budget: float, last: bool, cut: int, span: float
+        self,
+        which: int,
+        new: bool,
+        names: list[str],
+        budget: float,
+        last: bool,
+        cut: int,
+        crossing: bool,
+        span: float,
     ) -> None:
-        """Requests on one connection, one behind the other; the end of the last may be still to come."""
+        """Requests on one connection, one behind the other; the end of the last may be still to come, and a
+        further one may cross the next answer."""
         client = None if new else self.client_at(which)
         if client is None:
             client = self.model.client()
@@ -76,7 +86,7 @@
             self.model.request(client, BY_NAME[name], budget, last and place == len(names) - 1)
             for place, name in enumerate(names)
         ]
-        client.last = last
+        client.last, client.crossing = last, crossing
         for place in range(1, len(parts)):
             for asked in client.asked[-len(parts) + place :]:
                 asked.ends_at += len(parts[place - 1])
--- a/granitepoint/modelcheck/obligations.py
+++ b/granitepoint/modelcheck/obligations.py
@@ -167,9 +167,13 @@
         elif kind == 4:
             self.world.pending.append(Probed(id, status, 0.1, None))
 
-    @rule(kind=draw.kinds, lines=st.lists(draw.lines, max_size=4, unique_by=lambda line: line[0]))
-    def tell(self, kind: ListKind, lines: list[draw.Line]) -> None:
-        """A whole list holds all servers as they were, but for the lines."""
+    @rule(
+        kind=draw.kinds,
+        lines=st.lists(draw.lines, max_size=4, unique_by=lambda line: line[0]),
+        calls=st.integers(0, 9),
+    )
+    def tell(self, kind: ListKind, lines: list[draw.Line], calls: int) -> None:
+        """A whole list holds all servers as they were, but for the lines. Calls come in the same batch."""
         changed = {
             line[0]: draw.entry(*line[:2], self.world.now if line[2] else 0.0, line[3]) for line in lines
         }
@@ -179,6 +183,10 @@
             whole = {server: draw.entry(server) for server in range(1, draw.SERVERS + 1)} | changed
             changed = {server: e for server, e in whole.items() if e.state is not ServerState.GONE}
         self.world.tell(ServerList(kind, list(changed.values())))
+        for place in range(calls):
+            self.last_id += 1
+            cls = self.world.settings.classes[place % len(self.world.settings.classes)]
+            self.world.arrive(Arrival(self.last_id, cls.name, cls.deadline))
 
     @rule(
         seed=st.integers(0, 999),
--- a/tests/test_modelcheck.py
+++ b/tests/test_modelcheck.py
@@ -98,7 +98,7 @@
 )
 def test_a_fault_of_an_instance_is_found(rule: str, make: Make) -> None:
     with pytest.raises(Found, match=f"^{rule}: "):
-        check(rule, 300, 40, 2, phases=FIRST_FOUND, make=make)
+        check(rule, 300, 40, 1, phases=FIRST_FOUND, make=make)
 
 
 def test_a_cold_server_that_gets_all_it_seems_fit_for_is_found(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -123,7 +123,7 @@
 ) -> None:
     monkeypatch.setattr(ClientConnection, name, fault)
     with pytest.raises(Found, match="^answer: "):
-        check("endings", 200, 40, 1, phases=FIRST_FOUND)
+        check("endings", 200, 40, 2, phases=FIRST_FOUND)
 
 
 def test_a_case_is_told_as_a_test_that_fails(
