--- a/granitepoint/modelcheck/proxy.py
+++ b/granitepoint/modelcheck/proxy.py
@@ -155,10 +155,8 @@
         self.model, self.number = model, int(address[0].rpartition(".")[2])
         self.parser = httptools.HttpRequestParser(self)
         self.id = ""
-        self.begun: str | None = None
         self.runs: str | None = None  # a request that has come whole and has no answer
         self.probe = False
-        self.body = b""
 
     def made(self) -> None:
         self.model.backends.append(self)
@@ -266,6 +264,7 @@
         return {"index": self.version, "snapshot": whole, "endpoints": named}
 
     def tell(self, number: int, state: str, whole: bool) -> None:
+        """Discovery lists a backend in another state, among changes or in a whole list."""
         self.version += 1
         self.states[number] = state
         listing = self.listing(True) if whole else self.listing(False, number)
@@ -321,6 +320,8 @@
         return client
 
     def request(self, client: Client, cls: RequestClass, budget: float, last: bool = False) -> bytes:
+        """A further request of this client, to be sent behind all that it has sent. `budget` is in s; the
+        last one asks for the close of the connection."""
         self.ids += 1
         id = f"{self.ids:016d}"
         method = "GET" if cls.effect is Effect.REPEATABLE else "POST"
@@ -401,12 +402,14 @@
         earlier.append(Ran(self.clock.now, zone, backend))
 
     def turned_away(self, backend: Backend) -> None:
+        """What has come whole there is answered as never seen."""
         assert backend.runs is not None
         for ran in self.whole[backend.runs]:
             ran.unseen = ran.unseen or ran.backend is backend
 
     # all
     def check(self) -> None:
+        """Raises RuleBroken. Called whenever time has passed."""
         if self.breaches:
             raise self.breaches[0]
         if self.ending is not None and self.ending.done() and not self.ended:
@@ -433,6 +436,7 @@
                     raise RuleBroken("answer", f"call {asked.id} has no answer {late:g} s after its time")
 
     def term(self) -> None:
+        """SIGTERM."""
         self.told_to_end_at = self.clock.now
         self.ending = self.loop.create_task(program.drain(self.server, self.driver))
 
@@ -469,6 +473,7 @@
             )
 
     def stop(self) -> None:
+        """Puts back what stood in the modules before. The model can't be used any more."""
         for module, name, old in self.kept:
             if old is not None:
                 setattr(module, name, old)
