Add an emulator: the operators' world in simulated time round the real module

Clients, servers in tiers, late lists, probes, connections and troubles in one process on a heap of moments. Every decision is made by granitepoint.logic.Balancer through its events and actions.

--- /dev/null
+++ b/granitepoint/emulator/__main__.py
@@ -0,0 +1,13 @@
+"""`python -m granitepoint.emulator`."""
+
+import sys
+
+import cyclopts
+
+from granitepoint.emulator.command import emulate
+
+app = cyclopts.App(name="python -m granitepoint.emulator", help="The operators' world in simulated time.")
+app.default(emulate)
+
+if __name__ == "__main__":
+    sys.exit(app(result_action="return_value"))
--- /dev/null
+++ b/granitepoint/emulator/calls.py
@@ -0,0 +1,118 @@
+"""What travels through the world: a client's request, a call to an instance, an attempt at a server."""
+
+from __future__ import annotations
+
+import math
+from enum import Enum
+from random import Random
+from typing import TYPE_CHECKING, Protocol
+
+from granitepoint.emulator.day import Class
+from granitepoint.interface import Arrival
+
+if TYPE_CHECKING:
+    from granitepoint.emulator.instance import Instance
+    from granitepoint.emulator.server import Server
+    from granitepoint.emulator.tally import Window
+
+
+class End(Enum):
+    """How a call ended, as its asker sees it."""
+
+    SERVED = "served"
+    REFUSED = "refused"
+    FAILED = "failed"
+    LOST = "lost"  # no instance could be reached, or it died with the call
+
+
+class Request:
+    """What a client wants, over all its tries. Times in simulated seconds, work in core seconds."""
+
+    __slots__ = (
+        "attempts", "born", "cls", "deadline", "ended", "honours", "number", "tenant", "tries", "window",
+        "work", "worth", "zone",
+    )  # fmt: skip
+
+    def __init__(
+        self, number: int, cls: Class, tenant: str, zone: str, born: float, work: float, window: Window
+    ) -> None:
+        self.number, self.cls, self.tenant, self.zone, self.born, self.work = (
+            number, cls, tenant, zone, born, work,
+        )  # fmt: skip
+        self.window = window
+        self.deadline = born + cls.deadline_ms / 1e3
+        self.worth = cls.worth
+        self.honours = True  # stays away as long as it is told
+        self.tries = 0
+        self.ended = False
+
+
+class Call:
+    """One call to an instance, from a client or from a server of the tier above."""
+
+    __slots__ = (
+        "asker", "attempts", "deadline", "ended", "event", "id", "instance", "origin", "out", "request",
+    )  # fmt: skip
+
+    def __init__(self, id: int, request: Request, asker: Asker, budget: float) -> None:
+        self.id, self.request, self.asker = id, request, asker
+        self.event = Arrival(id, request.cls.name, budget, request.tenant)
+        self.deadline = math.inf  # set when an instance takes it
+        self.attempts: list[Attempt] = []
+        self.out = 0  # attempts that have no outcome yet
+        self.ended = False
+        self.origin: Attempt | None = None  # at the server that asks
+        self.instance: Instance | None = None
+
+
+class Asker(Protocol):
+    def answered(self, call: Call, end: End, retry_after: float, attempt: Attempt | None) -> None:
+        """The one end of a call; `attempt` is the one that served it."""
+
+
+class State(Enum):
+    """Of an attempt, at its server."""
+
+    AWAY = 0  # on its way there, or turned away
+    WAITING = 1  # for a slot
+    RUNNING = 2
+    CALLING = 3  # the next tier
+    OVER = 4
+
+
+class Attempt:
+    """One execution, or a try at one, of a call at a server."""
+
+    __slots__ = (
+        "call", "calls_left", "deadline", "finish", "inner", "instance", "kids", "life", "number", "overhead",
+        "reply", "rested", "rest_work", "sent_at", "server", "state", "status", "used", "work",
+    )  # fmt: skip
+
+    def __init__(
+        self, call: Call, number: int, instance: Instance, server: Server, sent_at: float, deadline: float
+    ) -> None:
+        self.call, self.number, self.instance, self.server = call, number, instance, server
+        self.sent_at, self.deadline = sent_at, deadline
+        self.life = server.life  # of the process that its connection leads to
+        self.rested = 0.0  # s that its connection had not been used; 0: a new one
+        self.status = -1  # still out
+        self.reply = -1  # the status on its way back
+        self.state = State.AWAY
+        self.overhead = 0.0  # work of its connection's handshake
+        self.work = self.rest_work = 0.0  # core seconds of the part at hand, and of the part after the calls
+        self.finish = 0.0  # the server's progress at which the part at hand is done
+        self.used = 0.0  # core seconds spent on it
+        self.calls_left = 0
+        self.inner: Call | None = None  # out to the next tier
+        self.kids: list[Attempt] = []  # that served its calls
+
+
+def draw(random: Random, dist: str, mean: float, cv: float) -> float:
+    """A positive figure of that mean and coefficient of variation."""
+    if dist == "fixed" or cv <= 0:
+        return mean
+    if dist == "pareto":
+        alpha = 1 + math.sqrt(1 + 1 / (cv * cv))
+        return mean * (alpha - 1) / alpha * random.paretovariate(alpha)
+    square = math.log1p(cv * cv)
+    return random.lognormvariate(math.log(mean) - square / 2, math.sqrt(square))
--- /dev/null
+++ b/granitepoint/emulator/tally.py
@@ -0,0 +1,285 @@
+"""What is counted, and the records and the text that come of it. Nothing here depends on the machine."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from granitepoint.emulator.calls import Attempt, Request
+from granitepoint.emulator.day import Day, Tier
+from granitepoint.fleet.measure import Histogram
+from granitepoint.fleet.results import Record, Writer
+
+ENDS = ("in_time", "late", "refused", "failed", "timed_out", "left")
+WINDOW = 5.0  # s
+
+
+class Depth(Record, kw_only=True, tag="depth"):
+    """One tier. Work in core seconds of a standard core."""
+
+    depth: int
+    name: str
+    calls: int = 0
+    served: int = 0
+    refused: int = 0
+    failed: int = 0
+    attempts: int = 0
+    full: int = 0  # attempts turned away
+    errors: int = 0
+    timeouts: int = 0
+    connect_failed: int = 0
+    resets: int = 0
+    probes: int = 0
+    handshakes: int = 0
+    chokes: int = 0
+    work_done: float = 0.0  # for requests that have ended there
+    work_served: float = 0.0  # of that, for answers that a client got in its time
+
+
+class Window(Record, kw_only=True, tag="window"):
+    """The requests that were first sent in these seconds, whenever they ended."""
+
+    from_s: float
+    offered: int = 0
+    ends: dict[str, int] = msgspec.field(default_factory=lambda: dict.fromkeys(ENDS, 0))
+    tries: int = 0
+    attempts: int = 0  # over all tiers
+    worth_offered: float = 0.0
+    worth_served: float = 0.0
+    latency: dict[str, float] = {}
+
+
+class Group(Record, kw_only=True, tag="group"):
+    """A class or a tenant."""
+
+    kind: str
+    name: str
+    offered: int = 0
+    ends: dict[str, int] = msgspec.field(default_factory=lambda: dict.fromkeys(ENDS, 0))
+    worth_offered: float = 0.0
+    worth_served: float = 0.0
+    latency: dict[str, float] = {}
+
+
+class Seen(Record, kw_only=True, tag="event"):
+    """Something that a trouble did."""
+
+    at_s: float
+    what: str
+
+
+class Begin(Record, kw_only=True, tag="begin"):
+    name: str
+    seed: int
+    capacity_per_s: float
+    rate_per_s: float
+    servers: int
+    instances: int
+    day: dict[str, Any]
+
+
+class Total(Record, kw_only=True, tag="total"):
+    requests: int
+    ends: dict[str, int]
+    in_time_share: float
+    worth_served: float  # share of what was asked for
+    worst_10_s: float  # the same, of the worst two windows one after the other
+    tries_per_request: float
+    attempts_per_request: float
+    calls: int  # to all instances
+    work_offered: float  # core seconds
+    work_done: float
+    wasted: float  # work done that served nobody, as a share of the work offered
+    chokes: int
+    steps: int  # batches that instances handled
+    breaks: dict[str, int]
+
+
+class EmulatorFault(Exception):
+    """The world contradicts itself: a fault in the emulator."""
+
+
+class Tally:
+    """Counts of one run."""
+
+    def __init__(self, day: Day, tiers: list[Tier]) -> None:
+        self.day = day
+        self.depths = [Depth(depth=number, name=tier.name) for number, tier in enumerate(tiers)]
+        self.windows: list[Window] = []
+        self.classes = {cls.name: Group(kind="class", name=cls.name) for cls in day.classes}
+        self.tenants = {t.name: Group(kind="tenant", name=t.name) for t in day.tenants}
+        self.breaks = {"unanswered": 0, "repeat": 0, "drain": 0, "cold_fall": 0, "out_of_place": 0}
+        self.seen: list[Seen] = []
+        self.requests = self.open = self.steps = 0
+        self.work_offered = 0.0
+        self._latency: dict[int | str, Histogram] = {}
+        visits, self.work_share = 1.0, 0.0  # work of a request over all tiers, of its class's
+        for tier in tiers:
+            visits *= tier.calls
+            self.work_share += visits * tier.work
+
+    def window(self, now: float) -> Window:
+        while len(self.windows) <= now / WINDOW:
+            self.windows.append(Window(from_s=len(self.windows) * WINDOW))
+        return self.windows[int(now / WINDOW)]
+
+    def groups(self, request: Request) -> list[Window | Group]:
+        found: list[Window | Group] = [request.window, self.classes[request.cls.name]]
+        if request.tenant:
+            found.append(self.tenants[request.tenant])
+        return found
+
+    def begin(self, request: Request) -> None:
+        self.requests += 1
+        self.open += 1
+        self.work_offered += request.work * self.work_share
+        for group in self.groups(request):
+            group.offered += 1
+            group.worth_offered += request.worth
+
+    def end(self, request: Request, how: str, elapsed: float, attempt: Attempt | None = None) -> None:
+        """The one end of a request. `elapsed` in seconds since its first try. Raises EmulatorFault."""
+        if request.ended:
+            raise EmulatorFault(f"request {request.number} ended twice")
+        request.ended = True
+        self.open -= 1
+        worth = {"in_time": 1.0, "late": request.cls.late_worth}.get(how, 0.0) * request.worth
+        for group in self.groups(request):
+            group.ends[how] += 1
+            group.worth_served += worth
+        if how in ("in_time", "late"):
+            for key in (request.cls.name, int(request.born / WINDOW)):
+                if key not in self._latency:
+                    self._latency[key] = Histogram()
+                self._latency[key].add(elapsed)
+        if attempt is not None:
+            self.count_served(attempt)
+
+    def count_served(self, attempt: Attempt) -> None:
+        waiting = [attempt]
+        while waiting:
+            one = waiting.pop()
+            self.depths[one.server.depth].work_served += one.used
+            waiting += one.kids
+
+    def saw(self, at: float, what: str) -> None:
+        self.seen.append(Seen(at_s=round(at, 6), what=what))
+
+    def total(self) -> Total:
+        ends = dict.fromkeys(ENDS, 0)
+        for window in self.windows:
+            for how, count in window.ends.items():
+                ends[how] += count
+        done = sum(depth.work_done for depth in self.depths)
+        served = sum(depth.work_served for depth in self.depths)
+        count = max(1, self.requests)
+        pairs = list(zip(self.windows, self.windows[1:], strict=False))
+        return Total(
+            requests=self.requests,
+            ends=ends,
+            in_time_share=ends["in_time"] / count,
+            worth_served=_served(self.windows),
+            worst_10_s=min([_served(pair) for pair in pairs], default=_served(self.windows)),
+            tries_per_request=sum(w.tries for w in self.windows) / count,
+            attempts_per_request=sum(w.attempts for w in self.windows) / count,
+            calls=sum(depth.calls for depth in self.depths),
+            work_offered=self.work_offered,
+            work_done=done,
+            wasted=max(0.0, done - served) / max(self.work_offered, 1e-9),
+            chokes=sum(depth.chokes for depth in self.depths),
+            steps=self.steps,
+            breaks=self.breaks,
+        )
+
+    def records(self, begin: Begin) -> list[Record]:
+        """All records of the run, in the order in which they are written."""
+        for window in self.windows:
+            key = int(window.from_s / WINDOW)
+            if key in self._latency:
+                window.latency = self._latency[key].summary()
+        for group in self.classes.values():
+            if group.name in self._latency:
+                group.latency = self._latency[group.name].summary()
+        windows = [window for window in self.windows if window.offered]
+        groups = [*self.classes.values(), *self.tenants.values()]
+        return [begin, *self.seen, *windows, *groups, *self.depths, self.total()]
+
+
+def _served(groups: Iterable[Window | Group]) -> float:
+    held = list(groups)
+    offered = sum(group.worth_offered for group in held)
+    return sum(group.worth_served for group in held) / offered if offered else 0.0
+
+
+def write(records: list[Record], path: Path) -> None:
+    """A record a line. Raises OSError."""
+    writer = Writer(path)
+    try:
+        for record in records:
+            writer.write(record)
+    finally:
+        writer.close()
+
+
+def text(records: list[Record]) -> str:
+    """The same in a few dozen lines."""
+    lines: list[str] = []
+    for record in records:
+        if isinstance(record, Begin):
+            lines.append(
+                f"{record.name}: seed {record.seed}, {record.servers} servers, {record.instances} instances, "
+                f"{record.rate_per_s:.1f} requests/s of {record.capacity_per_s:.1f}"
+            )
+        elif isinstance(record, Seen):
+            lines.append(f"{record.at_s:9.2f} s  {record.what}")
+    lines.append("  from offered in-time%  late% refused%  fail%  t/o%  left%    p50 ms    p99 ms tries/r  att/r worth%")
+    for record in records:
+        if isinstance(record, Window):
+            lines.append(_window_line(record))
+    for record in records:
+        if isinstance(record, Group):
+            shown = f"{record.kind} {record.name}"
+            latency = record.latency
+            tail = f"  p50 {latency['p50_ms']:.1f}  p99 {latency['p99_ms']:.1f}  p99.9 {latency['p99.9_ms']:.1f} ms" if latency else ""
+            lines.append(f"{shown:32} {record.offered:8} worth served {_served([record]):.4f}{tail}")
+    lines.append("  depth tier               calls  served refused  failed attempts  full errors   t/o  conn reset   work done  served%")
+    for record in records:
+        if isinstance(record, Depth):
+            share = 100 * record.work_served / record.work_done if record.work_done else 0.0
+            lines.append(
+                f"  {record.depth:5} {record.name:16} {record.calls:7} {record.served:7} {record.refused:7} "
+                f"{record.failed:7} {record.attempts:8} {record.full:5} {record.errors:6} {record.timeouts:5} "
+                f"{record.connect_failed:5} {record.resets:5} {record.work_done:11.2f} {share:8.1f}"
+            )
+        elif isinstance(record, Total):
+            lines += _total_lines(record)
+    return "\n".join(lines) + "\n"
+
+
+def _window_line(window: Window) -> str:
+    count = max(1, window.offered)
+    ends = window.ends
+    shares = [100 * ends[how] / count for how in ENDS]
+    latency = window.latency or {"p50_ms": 0.0, "p99_ms": 0.0}
+    worth = 100 * _served([window])
+    return (
+        f"{window.from_s:6.0f} {window.offered:7} {shares[0]:8.1f} {shares[1]:6.1f} {shares[2]:8.1f} "
+        f"{shares[3]:6.1f} {shares[4]:5.1f} {shares[5]:6.1f} {latency['p50_ms']:9.1f} {latency['p99_ms']:9.1f} "
+        f"{window.tries / count:7.2f} {window.attempts / count:6.2f} {worth:6.1f}"
+    )
+
+
+def _total_lines(total: Total) -> list[str]:
+    broken = ", ".join(f"{name} {count}" for name, count in total.breaks.items() if count)
+    ends = ", ".join(f"{how} {count}" for how, count in total.ends.items())
+    return [
+        f"requests {total.requests}: {ends}",
+        f"in time {total.in_time_share:.4f}, worth served {total.worth_served:.4f} (worst 10 s "
+        f"{total.worst_10_s:.4f}), refused {total.ends['refused'] / max(1, total.requests):.4f}",
+        f"tries/request {total.tries_per_request:.3f}, attempts/request {total.attempts_per_request:.3f}, "
+        f"wasted work {total.wasted:.4f} of what was offered, chokes {total.chokes}",
+        f"rules broken: {broken or 'none'}",
+    ]
