--- a/granitepoint/emulator/calls.py
+++ b/granitepoint/emulator/calls.py
@@ -51,11 +51,12 @@
     """One call to an instance, from a client or from a server of the tier above."""
 
     __slots__ = (
-        "asker", "attempts", "deadline", "ended", "event", "id", "instance", "origin", "out", "request",
+        "asker", "attempts", "deadline", "ended", "event", "id", "instance", "origin", "out", "request", "work",
     )  # fmt: skip
 
-    def __init__(self, id: int, request: Request, asker: Asker, budget: float) -> None:
+    def __init__(self, id: int, request: Request, asker: Asker, budget: float, work: float) -> None:
         self.id, self.request, self.asker = id, request, asker
+        self.work = work  # core seconds, of which a tier does its share
         self.event = Arrival(id, request.cls.name, budget, request.tenant)
         self.deadline = math.inf  # set when an instance takes it
         self.attempts: list[Attempt] = []
--- a/granitepoint/emulator/clients.py
+++ b/granitepoint/emulator/clients.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from granitepoint.emulator.calls import Attempt, Call, End, Request, draw
+from granitepoint.emulator.day import Class
 from granitepoint.emulator.instance import Instance
 
 if TYPE_CHECKING:
@@ -25,7 +26,8 @@
         self.delay = self.day.network.client_ms / 1e3
         self.base = self.day.rate()
         factors = [factor for _, factor in self.day.traffic.shape] or [1 + self.day.traffic.swing]
-        self.burst, self.heavy = 1.0, {cls.name: (0.0, 1.0) for cls in self.day.classes}
+        self.burst = 1.0
+        self.heavy: dict[tuple[str, int], tuple[float, float]] = {}  # by class and tier: share, times
         bursts = [t.times for t in self.day.troubles if t.__struct_config__.tag == "burst"]
         self.most = self.base * max(factors) * max([1.0, *(times for times in bursts if isinstance(times, float))])
         self.shares = [cls.share for cls in self.day.classes]
@@ -76,10 +78,7 @@
     def _request(self, now: float) -> None:
         day, random = self.day, self.random
         cls = random.choices(day.classes, self.shares)[0]
-        work = draw(random, cls.dist, cls.work_ms / 1e3, cls.cv)
-        share, times = self.heavy[cls.name]
-        if share and random.random() < share:
-            work *= times
+        work = self.draw_work(cls, 0, random)
         tenant = random.choices(day.tenants, self.traffic)[0].name if day.tenants else ""
         zone = random.choice(day.zones) if len(day.zones) > 1 else day.zones[0]
         request = Request(self.tally.requests, cls, tenant, zone, now, work, self.tally.window(now))
@@ -91,6 +90,15 @@
         self.tally.begin(request)
         self._try(request)
 
+    def draw_work(self, cls: Class, depth: int, random: Random) -> float:
+        """Core seconds of a call to that tier. Each call of a class has a draw of its own."""
+        work = draw(random, cls.dist, cls.work_ms / 1e3, cls.cv)
+        if self.heavy:
+            share, times = self.heavy.get((cls.name, depth), (0.0, 1.0))
+            if random.random() < share:
+                work *= times
+        return work
+
     def _within_quota(self, tenant: str, now: float) -> bool:
         quota = self.quotas[tenant]
         credit = min(max(1.0, quota * QUOTA_BURST), self.credit[tenant] + (now - self.credit_at[tenant]) * quota)
@@ -104,7 +112,7 @@
         budget = min(habits.try_share * request.cls.deadline_ms / 1e3, request.deadline - now)
         request.tries += 1
         request.window.tries += 1
-        call = Call(self.world.next_call(), request, self, budget)
+        call = Call(self.world.next_call(), request, self, budget, request.work)
         proxy = self.world.front.choose(request.zone, self.manners)
         if proxy is None:
             self.loop.at(now + 2 * self.delay, self._unreached, call)
--- a/granitepoint/emulator/command.py
+++ b/granitepoint/emulator/command.py
@@ -10,7 +10,7 @@
 import cyclopts
 import msgspec
 
-from granitepoint.emulator import tally
+from granitepoint.emulator import drawn, tally
 from granitepoint.emulator.day import load
 from granitepoint.emulator.world import World
 from granitepoint.fleet.experiment import ExperimentError
@@ -24,10 +24,10 @@
     json: Annotated[Path | None, cyclopts.Parameter(help="file of the results, a record a line")] = None,
     seed: Annotated[int | None, cyclopts.Parameter(help="in place of the day's own")] = None,
 ) -> int:
-    """Run one day in simulated time. The results go to standard output, how long it took to standard error.
+    """Run one day in simulated time: a TOML file, or a day that the simulator drew (.json). The results go to standard output, how long it took to standard error.
     Returns the exit code."""
     try:
-        read = load(day)
+        read = drawn.load(day) if day.suffix == ".json" else load(day)
     except ExperimentError as fault:
         print(f"emulator: {fault}", file=sys.stderr)
         return BAD_INPUT
--- a/granitepoint/emulator/day.py
+++ b/granitepoint/emulator/day.py
@@ -210,8 +210,9 @@
 class HeavyTail(_Strict, kw_only=True, tag="heavy_tail", tag_field="kind"):
     at_s: float
     for_s: float
+    tier: int = 0
     cls: str
-    share: float  # of its requests
+    share: float  # of its calls to that tier
     times: float  # their work
 
 
@@ -404,13 +405,13 @@
 def _check_trouble(day: Day, trouble: Trouble, path: str) -> None:
     _need(0 <= trouble.at_s < day.duration_s, f"{path}.at_s", "unused: the day is over by then")
     _need(trouble.for_s > 0, f"{path}.for_s", "must be above 0")
-    if isinstance(trouble, Roll | Shrink | FastErrors | Hang):
+    if isinstance(trouble, Roll | Shrink | FastErrors | Hang | HeavyTail):
         depths = day.depths()
         _need(0 <= trouble.tier < len(depths), f"{path}.tier", f"no such tier: {trouble.tier}")
         if isinstance(trouble, FastErrors | Hang):
             most = depths[trouble.tier].servers
             _need(1 <= trouble.servers <= most, f"{path}.servers", f"must be from 1 to {most}")
-        else:
+        elif isinstance(trouble, Roll | Shrink):
             _need(0 < trouble.part <= 1, f"{path}.part", "must be above 0 and at most 1")
     if isinstance(trouble, ZoneLoss):
         _need(trouble.zone in day.zones, f"{path}.zone", f"no such zone: {trouble.zone}")
--- a/granitepoint/emulator/server.py
+++ b/granitepoint/emulator/server.py
@@ -173,7 +173,7 @@
             self.reply(attempt, Status.RESET)
             return
         request = attempt.call.request
-        work = request.work * self.tier.work
+        work = attempt.call.work * self.tier.work
         if request.cls.attempt_noise:
             work = draw(self.random, "lognormal", work, request.cls.attempt_noise)
         now = self.loop.now
@@ -233,7 +233,8 @@
         if instance is None or not instance.alive or budget <= 0:
             self._leave(attempt, Status.ERROR)
             return
-        call = Call(self.world.next_call(), request, self, budget)
+        work = self.world.clients.draw_work(request.cls, self.depth + 1, self.random)
+        call = Call(self.world.next_call(), request, self, budget, work)
         call.origin, attempt.inner = attempt, call
         instance.take(call)
 
--- a/granitepoint/emulator/tally.py
+++ b/granitepoint/emulator/tally.py
@@ -135,7 +135,7 @@
     def begin(self, request: Request) -> None:
         self.requests += 1
         self.open += 1
-        self.work_offered += request.work * self.work_share
+        self.work_offered += request.cls.work_ms / 1e3 * self.work_share
         for group in self.groups(request):
             group.offered += 1
             group.worth_offered += request.worth
--- a/granitepoint/emulator/troubles.py
+++ b/granitepoint/emulator/troubles.py
@@ -99,8 +99,9 @@
                 server.hang(True)
             return lambda: [server.hang(False) for server, life in struck if server.life == life]
         if isinstance(trouble, days.HeavyTail):
-            world.clients.heavy[trouble.cls] = (trouble.share, trouble.times)
-            return lambda: world.clients.heavy.__setitem__(trouble.cls, (0.0, 1.0))
+            key = (trouble.cls, trouble.tier)
+            world.clients.heavy[key] = (trouble.share, trouble.times)
+            return lambda: world.clients.heavy.pop(key, None)
         if isinstance(trouble, days.StaleDiscovery):
             return self._set_each(list(world.registries), "behind", trouble.behind_s)
         if isinstance(trouble, days.Burst):
