--- a/granitepoint/emulator/clients.py
+++ b/granitepoint/emulator/clients.py
@@ -109,7 +109,9 @@
 
     def _try(self, request: Request) -> None:
         now, habits = self.loop.now, self.habits
-        budget = min(habits.try_share * request.cls.deadline_ms / 1e3, request.deadline - now)
+        budget = request.deadline - now
+        if self._may_repeat(request, now):
+            budget = min(budget, habits.try_share * request.cls.deadline_ms / 1e3)
         request.tries += 1
         request.window.tries += 1
         call = Call(self.world.next_call(), request, self, budget, request.work)
@@ -146,13 +148,19 @@
         how = "refused" if end is End.REFUSED else "timed_out" if self.loop.now >= call.deadline else "failed"
         self.tally.end(request, how, elapsed)
 
+    @staticmethod
+    def _may_repeat(request: Request, now: float) -> bool:
+        """Whether it may be sent again though it may have run."""
+        cls = request.cls
+        if cls.effect == "by_key":
+            return cls.group == "all" and now < request.born + cls.window_ms / 1e3
+        return cls.effect == "repeatable"
+
     def _again_at(self, request: Request, end: End, heard: float, retry_after: float) -> float:
         """When the next try begins; never, if none is due."""
-        habits, cls = self.habits, request.cls
-        free = cls.effect == "repeatable" or (
-            cls.effect == "by_key" and cls.group == "all" and heard < request.born + cls.window_ms / 1e3
-        )
-        if request.tries > habits.retries or not (free or end in (End.REFUSED, End.LOST)):
+        habits = self.habits
+        free = end in (End.REFUSED, End.LOST) or self._may_repeat(request, heard)
+        if request.tries > habits.retries or not free:
             return float("inf")
         wait = 0.0 if habits.backoff == "none" else habits.backoff_ms / 1e3
         if habits.backoff == "exp":
--- a/granitepoint/emulator/day.py
+++ b/granitepoint/emulator/day.py
@@ -28,7 +28,7 @@
 
 class Clients(_Strict):
     retries: int = 0
-    try_share: float = 1.0  # of the class's deadline after which a try is given up
+    try_share: float = 1.0  # of the deadline after which a try is given up that may be made again
     backoff: Literal["none", "fixed", "exp"] = "exp"
     backoff_ms: float = 100.0
     honour: float = 1.0  # share that stays away as long as a refusal advises
--- a/granitepoint/emulator/server.py
+++ b/granitepoint/emulator/server.py
@@ -19,6 +19,7 @@
 FIRST_PART = 0.5  # of an attempt's work that is done before its calls
 FAST_ERROR = 1e-3  # s until a struck server has failed a request
 DONE = 1e-9  # core seconds that count as none
+TAKING = 0.5  # of a drain's time, in which new requests are still taken: the lists come late
 REST_PARTS = 4  # of the time of rest, at which a choked server is looked at
 
 
@@ -43,6 +44,7 @@
         self.life = 0  # which process
         self.up = True
         self.draining = self.silent = self.hung = False
+        self.closing_at = math.inf  # from then on it turns new requests away
         self.fail_share = 0.0
         self.report_phase = random.random() * tier.report_period_ms / 1e3
         self.probe_room, self.probed_at = tier.probes_per_s * tier.cores, 0.0
@@ -179,7 +181,7 @@
         now = self.loop.now
         if now < self.warm_at and self._pushed_over(attempt, work):
             return
-        if self.draining or (self.slots_used >= self.tier.slots and len(self.waiting) >= self.tier.room):
+        if now >= self.closing_at or (self.slots_used >= self.tier.slots and len(self.waiting) >= self.tier.room):
             self.reply(attempt, Status.FULL)
             return
         if self.fail_share and self.random.random() < self.fail_share:
@@ -378,6 +380,7 @@
         held += self.away
         held += self.waiting
         self.up, self.silent, self.draining, self.hung = False, silent, False, False
+        self.closing_at = math.inf
         self.life += 1
         for attempt in held:
             if attempt.state is State.RUNNING:
@@ -401,6 +404,11 @@
         if self.instance is not None:
             self.instance.start()
 
+    def drain(self, span: float) -> None:
+        """It ends in so many seconds. What comes in the first half of them is still taken."""
+        self.draining = True
+        self.closing_at = self.loop.now + TAKING * span
+
     def hang(self, on: bool) -> None:
         self.advance()
         self.hung = on
--- a/granitepoint/emulator/troubles.py
+++ b/granitepoint/emulator/troubles.py
@@ -56,7 +56,7 @@
     def _drain(self, trouble: days.Roll | days.Shrink, servers: list[Server]) -> None:
         for server in servers:
             if server.up and not server.draining:
-                server.draining = True
+                server.drain(trouble.drain_s)
                 self.world.registries[server.depth].drains(server)
                 self._later(trouble.drain_s, lambda server=server: self._end(trouble, server))
 
