--- a/granitepoint/emulator/day.py
+++ b/granitepoint/emulator/day.py
@@ -162,7 +162,7 @@
 
 
 class Roll(_Strict, kw_only=True, tag="roll", tag_field="kind"):
-    """Servers of a tier drain and stop, a batch at a time, and cold ones take their places."""
+    """Servers of a tier drain and stop, a batch at a time, and cold new machines take their places."""
 
     at_s: float
     for_s: float
@@ -170,6 +170,7 @@
     part: float = 1.0
     batch: float = 0.1  # share of the tier
     drain_s: float = 3.0
+    surge: bool = False  # those that come are started first, and the others drain when the list has them
 
 
 class Shrink(_Strict, kw_only=True, tag="shrink", tag_field="kind"):
--- a/granitepoint/emulator/troubles.py
+++ b/granitepoint/emulator/troubles.py
@@ -59,7 +59,16 @@
         places = range(0, len(chosen), batch)
         for place in places:
             due = self.loop.now + trouble.for_s * place / batch / len(places)
-            self.loop.at(due, self._drain, (trouble, chosen[place : place + batch]))
+            surges = isinstance(trouble, days.Roll) and trouble.surge
+            step = self._start_for if surges else self._drain
+            self.loop.at(due, step, (trouble, chosen[place : place + batch]))
+
+    def _start_for(self, about: tuple[Going, list[Server]]) -> None:
+        for server in about[1]:
+            if server.up and not server.draining:
+                self.world.add_server(server.depth, server.zone, server.cell, server.speed)
+        sizes = self.world.day.discovery
+        self.loop.at(self.loop.now + sizes.add_s + sizes.period_s, self._drain, about)
 
     def _drain(self, about: tuple[Going, list[Server]]) -> None:
         trouble, servers = about
@@ -74,7 +83,7 @@
         if not server.draining:
             return  # a further trouble ended it
         self.world.stop(server, silent=False)
-        if isinstance(trouble, days.Roll):
+        if isinstance(trouble, days.Roll) and not trouble.surge:
             self.world.add_server(server.depth, server.zone, server.cell, server.speed)
 
     def _lose_zone(self, trouble: days.ZoneLoss) -> None:
--- a/granitepoint/emulator/world.py
+++ b/granitepoint/emulator/world.py
@@ -133,11 +133,14 @@
     # -- running
     def run(self) -> list[Record]:
         """The records of the day. Raises EmulatorFault where the world contradicts itself."""
+        thresholds = gc.get_threshold()
         gc.collect()
         gc.freeze()
+        gc.set_threshold(50_000, 20, 50)  # nearly nothing here goes in circles
         try:
             return self._run()
         finally:
+            gc.set_threshold(*thresholds)
             gc.unfreeze()
 
     def _run(self) -> list[Record]:
