--- a/granitepoint/emulator/calls.py
+++ b/granitepoint/emulator/calls.py
@@ -29,17 +29,26 @@
     """What a client wants, over all its tries. Times in simulated seconds, work in core seconds."""
 
     __slots__ = (
-        "attempts", "born", "cls", "deadline", "ended", "honours", "number", "tenant", "tries", "window",
+        "born", "cls", "deadline", "ended", "honours", "number", "random", "tenant", "tries", "window",
         "work", "worth", "zone",
     )  # fmt: skip
 
     def __init__(
-        self, number: int, cls: Class, tenant: str, zone: str, born: float, work: float, window: Window
+        self,
+        number: int,
+        cls: Class,
+        tenant: str,
+        zone: str,
+        born: float,
+        work: float,
+        window: Window,
+        random: Random,
     ) -> None:
         self.number, self.cls, self.tenant, self.zone, self.born, self.work = (
             number, cls, tenant, zone, born, work,
         )  # fmt: skip
         self.window = window
+        self.random = random  # of all that its calls cost, so that runs of other decisions meet the same
         self.deadline = born + cls.deadline_ms / 1e3
         self.worth = cls.worth
         self.honours = True  # stays away as long as it is told
--- a/granitepoint/emulator/clients.py
+++ b/granitepoint/emulator/clients.py
@@ -82,7 +82,8 @@
         work = self.draw_work(cls, 0, random)
         tenant = random.choices(day.tenants, self.traffic)[0].name if day.tenants else ""
         zone = random.choice(day.zones) if len(day.zones) > 1 else day.zones[0]
-        request = Request(self.tally.requests, cls, tenant, zone, now, work, self.tally.window(now))
+        own = Random(random.getrandbits(64))
+        request = Request(self.tally.requests, cls, tenant, zone, now, work, self.tally.window(now), own)
         request.honours = random.random() < self.habits.honour
         if day.worth_by_work:
             request.worth *= work
--- a/granitepoint/emulator/server.py
+++ b/granitepoint/emulator/server.py
@@ -189,7 +189,7 @@
         request = attempt.call.request
         work = attempt.call.work * self.tier.work
         if request.cls.attempt_noise:
-            work = draw(self.random, "lognormal", work, request.cls.attempt_noise)
+            work = draw(request.random, "lognormal", work, request.cls.attempt_noise)
         now = self.loop.now
         if now < self.warm_at and self._pushed_over(attempt, work):
             return
@@ -202,7 +202,7 @@
             self.loop.at(now + FAST_ERROR, self._fail_fast, attempt)
             return
         calls = self.next_calls
-        attempt.calls_left = int(calls) + (self.random.random() < calls % 1.0) if calls else 0
+        attempt.calls_left = int(calls) + (request.random.random() < calls % 1.0) if calls else 0
         first = work * FIRST_PART if attempt.calls_left else work
         attempt.work, attempt.rest_work = first + attempt.overhead, work - first
         self.advance()
@@ -235,7 +235,7 @@
             attempt.state = State.CALLING
             self.away[attempt] = None
             self._call_next(attempt)
-        elif self.random.random() < self.tier.error_rate:
+        elif attempt.call.request.random.random() < self.tier.error_rate:
             self._leave(attempt, Status.ERROR)
         else:
             self._leave(attempt, Status.OK)
@@ -248,7 +248,7 @@
         if instance is None or not instance.alive or budget <= 0:
             self._leave(attempt, Status.ERROR)
             return
-        work = self.world.clients.draw_work(request.cls, self.depth + 1, self.random)
+        work = self.world.clients.draw_work(request.cls, self.depth + 1, request.random)
         call = Call(self.world.next_call(), request, self, budget, work)
         call.origin, attempt.inner = attempt, call
         instance.take(call)
