Callers of a zone that went silent wait in vain, and connects that failed never count as open

A proxy that went silent had told its clients at once; now they hear nothing until their time is over, and new ones only that no connection came up.

--- a/granitepoint/emulator/instance.py
+++ b/granitepoint/emulator/instance.py
@@ -45,6 +45,7 @@
         self.connect_timeout = self.day.limits.connect_timeout_ms / 1e3
         self.max_attempts = self.day.limits.max_attempts
         self.alive: bool = False
+        self.silent = False  # it does not even refuse connections
         self.life: int = 0
         self._empty()
 
@@ -64,15 +65,15 @@
         """A new process: it knows the list as last held."""
         self._empty()
         self.life += 1
-        self.alive = True
+        self.alive, self.silent = True, False
         self.balancer = Balancer(self.settings, self.seed + self.life)
         self.registry.join(self)
 
-    def kill(self) -> None:
-        """The process ends with all that it held."""
+    def kill(self, silent: bool = False) -> None:
+        """The process ends with all that it held. Where it went silent its callers wait in vain."""
         if not self.alive:
             return
-        self.alive = False
+        self.alive, self.silent = False, silent
         self.life += 1
         self.registry.leave(self)
         for pool in self.pools.values():
@@ -87,7 +88,7 @@
         for call in calls:
             if not call.ended:
                 call.ended = True
-                call.asker.answered(call, End.LOST, 0.0, None)
+                self.loop.at(call.deadline if silent else self.loop.now, self._lost, call)
 
     # -- batches
     def post(self, event: api.Event) -> None:
@@ -171,7 +172,7 @@
             return
         if not self.alive:
             call.ended = True
-            call.asker.answered(call, End.LOST, 0.0, None)
+            self.loop.at(self.loop.now + self.connect_timeout * self.silent, self._lost, call)
             return
         call.instance = self
         call.deadline = self.loop.now + call.event.budget
@@ -181,6 +182,10 @@
         self.loop.at(call.deadline + slack, self._overdue, call)
         self.post(call.event)
 
+    @staticmethod
+    def _lost(call: Call) -> None:
+        call.asker.answered(call, End.LOST, 0.0, None)
+
     def leave(self, call: Call) -> None:
         """Its asker waits no longer."""
         if not call.ended:
@@ -269,8 +274,10 @@
             attempt.rested = max(rested, 1e-9)
             loop.at(loop.now + delay, server.receive, attempt)
         elif server.silent or (server.up and server.open >= server.tier.connections):
+            attempt.life = -1  # no connection
             loop.at(loop.now + self.connect_timeout, self._not_connected, attempt)
         elif not server.up:
+            attempt.life = -1
             loop.at(loop.now + 2 * delay, self._not_connected, attempt)
         else:
             tier = server.tier
@@ -287,8 +294,8 @@
         loop.at(attempt.deadline, self._timed_out, attempt)
 
     def _not_connected(self, attempt: Attempt) -> None:
-        attempt.life = -1
-        self._settle(attempt, api.Status.CONNECT_FAILED)
+        if attempt.status < 0:
+            self._settle(attempt, api.Status.CONNECT_FAILED)
 
     def _timed_out(self, attempt: Attempt) -> None:
         if attempt.status < 0:
--- a/granitepoint/emulator/server.py
+++ b/granitepoint/emulator/server.py
@@ -405,7 +405,7 @@
                 self.reply(attempt, Status.RESET)
         self._empty()
         if self.instance is not None:
-            self.instance.kill()
+            self.instance.kill(silent)
 
     def start(self) -> None:
         """A new, cold process."""
--- a/granitepoint/emulator/troubles.py
+++ b/granitepoint/emulator/troubles.py
@@ -93,7 +93,7 @@
         for server in servers:
             world.stop(server, silent=True)
         for proxy in proxies:
-            proxy.kill()
+            proxy.kill(silent=True)
             world.front.lost(proxy)
         self._say(f"{len(servers)} servers and {len(proxies)} proxies are silent")
         self.loop.at(self.loop.now + trouble.for_s, self._regain_zone, (servers, proxies))
