--- a/granitepoint/emulator/day.py
+++ b/granitepoint/emulator/day.py
@@ -95,7 +95,8 @@
 
 
 class Choke(_Strict, kw_only=True):
-    """A server with many requests for each core for a while turns slower until it has rested."""
+    """A server with many requests for each core for a while turns slower until it has rested. Seconds without
+    a crowd take back as many with one."""
 
     at: float  # requests that want a core, for each core
     over_s: float
--- a/granitepoint/emulator/server.py
+++ b/granitepoint/emulator/server.py
@@ -76,6 +76,7 @@
         self.pressure: deque[tuple[float, float, bool]] = deque()  # sent while cold: when, work, told
         self.pressed = 0.0
         self.crowded_at = math.inf
+        self.crowded_for = 0.0  # s, less those since in which it was not crowded
         self.choked_at = math.inf  # since when
         self.busy = 0.0  # seconds of all cores
         self.rests: deque[float] = deque(maxlen=REST_PARTS + 1)
@@ -111,6 +112,9 @@
         if now <= mark:
             return
         self.mark = now
+        if self.tier.choke is not None:
+            crowded = now - mark if self.crowded_at < math.inf else mark - now
+            self.crowded_for = max(0.0, self.crowded_for + crowded)
         if self.active:
             if mark >= self.warm_at:
                 self.progress += (now - mark) * self.scale
@@ -358,15 +362,16 @@
             self.crowded_at = math.inf
         elif self.crowded_at == math.inf:
             self.crowded_at = self.loop.now
-            self.loop.at(self.loop.now + choke.over_s, self._choke, (self.loop.now, self.life))
+            due = self.loop.now + choke.over_s - self.crowded_for
+            self.loop.at(due, self._choke, (self.loop.now, self.life))
 
     def _choke(self, which: tuple[float, int]) -> None:
         choke = self.tier.choke
         if choke is None or which != (self.crowded_at, self.life):
             return
-        self.crowded_at, self.choked_at = math.inf, self.loop.now
-        self.count.chokes += 1
         self.advance()
+        self.crowded_at, self.choked_at, self.crowded_for = math.inf, self.loop.now, 0.0
+        self.count.chokes += 1
         self.rests.clear()
         self.rests.append(self.busy)
         self.loop.at(self.loop.now + choke.rest_s / REST_PARTS, self._look_for_rest, self.life)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -372,6 +372,21 @@
     assert bench.world.tally.depths[0].chokes == 1
 
 
+def test_seconds_without_a_crowd_take_back_as_many_with_one() -> None:
+    choke = Choke(at=2.0, over_s=1.0, slower=2.0, rest_s=2.0, below=0.5, most_s=30.0)
+    bench = Bench(choke=choke)
+    for number, (at, work) in enumerate([(0.0, 0.5), (0.2, 0.3), (1.2, 5.0), (1.3, 5.0)]):
+        bench.send(number, at, work)
+    bench.loop.run(1.0)
+    # Both are held from 0.2 to 0.8. Until 1.3 half a second without a crowd leaves 0.1 of those 0.6, so it
+    # chokes after 0.9 more.
+    assert [at for at, _ in bench.done.values()] == [0.8, 0.8]
+    bench.loop.run(2.19)
+    assert bench.server.choked_at == math.inf
+    bench.loop.run(2.21)
+    assert bench.server.choked_at == pytest.approx(2.2)
+
+
 def test_a_hung_server_does_nothing_until_it_is_back() -> None:
     bench = Bench()
     bench.send(1, 0.0, 1.0)
