--- a/granitepoint/emulator/server.py
+++ b/granitepoint/emulator/server.py
@@ -334,15 +334,17 @@
 
     # -- cold starts, chokes and ends
     def _pushed_over(self, attempt: Attempt, work: float) -> bool:
-        """Count the work sent to a cold process; too much of it within the stated time and it falls. The
-        newest request is slack."""
+        """Count the work sent to a cold process; too much of it within the stated time and it falls.
+
+        Slack for chance: the newest, and what one request has beyond all that the process can do meanwhile.
+        """
         rules, now = self.world.day.rules, self.loop.now
         pressure = self.pressure
         while pressure and pressure[0][0] < now - rules.fall_s:
             self.pressed -= pressure.popleft()[1]
-        budget = rules.fall_multiple * self.speed * self.cores * self.share(now) * rules.fall_s
-        if self.pressed > budget:
-            told = sum(sent for _, sent, knew in pressure if knew)
+        able = self.speed * self.cores * self.share(now) * rules.fall_s
+        if self.pressed > rules.fall_multiple * able:
+            told = sum(part for _, part, knew in pressure if knew)
             self.tally.saw(now, f"server {self.id} of {self.tier.name} fell over while cold")
             if told >= self.pressed * 2 / 3:
                 self.tally.breaks["cold_fall"] += 1
@@ -350,8 +352,9 @@
             self.stop()
             self.world.registries[self.depth].lost(self, silent=True)
             return True
-        pressure.append((now, work, attempt.instance.knows_start(self)))
-        self.pressed += work
+        sent = min(work, able)
+        pressure.append((now, sent, attempt.instance.knows_start(self)))
+        self.pressed += sent
         return False
 
     def _look_for_crowd(self) -> None:
