--- a/tests/test_emulator_drawn.py
+++ b/tests/test_emulator_drawn.py
@@ -16,15 +16,15 @@
 
 # fmt: off
 def drawn() -> dict[str, Any]:
-    kind = dict(cores=2, slots=3, queue=5, thrash=0.1, knee=9.0, cold_from=0.5, cold=4_000_000, error_rate=0.0,
-                cancel="none", drops_expired=False)
+    kind = dict(cores=2, slots=3, queue=5, thrash=0.1, knee=9.0, cold_from=0.5, cold=4_000_000,
+                error_rate=0.0, cancel="none", drops_expired=False)
     tier = dict(name="gate", calls=1.0, work=0.4, kinds=[kind], report_period=200_000, report_delay=20_000,
                 report_noise=0.1, handshake_rtts=1.0, handshake_work=1500.0, conn_idle=30_000_000,
                 connect_timeout=250_000, conn_cap_per_core=600.5, conn_full_tax=0.2, probe_work=150.0,
                 probe_cap_per_core=6.0, probe_timeout=300_000, stated_cold_from=0.4,
                 stated_cold=8_000_000)
-    choke = dict(at=5.0, stated_at=4.0, over=2_000_000, slower=3.0, rest=3_000_000, below=0.3, most=20_000_000,
-                 price=0.1)
+    choke = dict(at=5.0, stated_at=4.0, over=2_000_000, slower=3.0, rest=3_000_000, below=0.3,
+                 most=20_000_000, price=0.1)
     cls = dict(name="pay", share=1.0, work=100_000.0, dist="pareto", cv=2.0, attempt_noise=0.3, aim=1_000_000,
                deadline=3_000_000, worth=2.0, late_worth=0.5, effect="unsafe", group="all",
                window=5_000_000)
