Test connections and rolls of the emulator

A cap of two connections refuses the third, an idle one is used again and closed after its time; a roll replaces each server, and one that starts the new ones first never has fewer than before.

--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -425,6 +425,47 @@
     assert [status for _, status in bench.done.values()] == [Status.FULL, Status.OK, Status.RESET]
 
 
+def test_connections_are_capped_kept_for_the_next_call_and_closed_when_idle() -> None:
+    bench = Bench(connections=2, handshake_us=0.0)
+    instance, server, idle_for = bench.instance, bench.server, bench.day.limits.conn_idle_s
+    instance._handle = instance.inbox.clear  # type: ignore[method-assign]  # the module is not asked
+    request = bench.send(1, 99.0, 0.1).call.request
+    calls: list[Call] = []
+    for _ in range(3):
+        calls.append(Call(bench.world.next_call(), request, Asked(), 1.0, 0.1))
+        instance.take(calls[-1])
+        instance._send(Send(calls[-1].id, server.id, 1.0))
+    del instance.replied
+    bench.loop.run(0.5)
+    assert [call.attempts[0].status for call in calls] == [Status.OK, Status.OK, Status.CONNECT_FAILED]
+    assert (server.open, bench.world.tally.depths[0].handshakes) == (2, 2)
+    instance._send(Send(calls[2].id, server.id, 0.5))
+    bench.loop.run(1.0)
+    assert calls[2].attempts[1].status == Status.OK
+    assert calls[2].attempts[1].rested > 0 and bench.world.tally.depths[0].handshakes == 2
+    bench.loop.run(idle_for + 2.0)
+    assert server.open == 0 and not any(pool.idle for pool in instance.pools.values())
+
+
+@pytest.mark.parametrize(("surge", "least"), [(True, 3), (False, 2)])
+def test_a_roll_replaces_each_server_and_one_that_surges_never_has_fewer(surge: bool, least: int) -> None:
+    roll = '[[troubles]]\nkind = "roll"\nat_s = 0.5\nfor_s = 3.0\ndrain_s = 0.2\n'
+    roll += f"surge = {str(surge).lower()}\n"
+    world = World(parse(SMALL.replace("duration_s = 4.0", "duration_s = 8.0") + roll))
+    before = list(world.by_tier[0])
+    held: list[int] = []
+
+    def look(_: object) -> None:
+        held.append(sum(server.up and not server.draining for server in world.by_tier[0]))
+        world.loop.at(world.loop.now + 0.05, look)
+
+    world.loop.at(0.0, look)
+    world.run()
+    assert not any(server.up for server in before)
+    assert sum(server.up for server in world.by_tier[0]) == 3
+    assert min(held) == least
+
+
 # -- rules are watched
 def test_a_send_after_a_drain_and_a_refusal_of_what_may_have_run_are_counted() -> None:
     bench = Bench()
