--- a/granitepoint/cli/app.py
+++ b/granitepoint/cli/app.py
@@ -179,6 +179,24 @@
     return 0
 
 
+@app.command
+def emulate(
+    day: Path,
+    /,
+    *,
+    json: Annotated[Path | None, cyclopts.Parameter(help="file of the results, a record a line")] = None,
+    seed: Annotated[int | None, cyclopts.Parameter(help="in place of the day's own")] = None,
+) -> int:
+    """Play a day of the emulator in simulated time: a TOML file, or a day that the simulator drew (.json)."""
+    try:
+        from granitepoint.emulator.command import emulate as play
+    except ModuleNotFoundError as fault:
+        if not fault.name or fault.name.startswith("granitepoint"):
+            raise
+        return _refuse(f"emulate needs {fault.name}: pip install 'granitepoint[fleet]'")
+    return play(day, json=json, seed=seed)
+
+
 @app.command
 def schema() -> None:
     """Print the JSON Schema of the configuration, as docs/config.schema.json holds it."""
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -43,6 +43,9 @@
     done = command("version", before="sys.modules['cyclopts'] = None")
     line = "granitepoint: commands other than run need cyclopts: pip install 'granitepoint[cli]'\n"
     assert (done.returncode, done.stdout, done.stderr) == (2, "", line)
+    done = command("emulate", "day.toml", before="sys.modules['hdrh.histogram'] = None")
+    line = "granitepoint: emulate needs hdrh.histogram: pip install 'granitepoint[fleet]'\n"
+    assert (done.returncode, done.stdout, done.stderr) == (2, "", line)
 
 
 @pytest.mark.parametrize("name, raw, line", [
