Model checking: long runs in batches of 500, each with a seed of its own

A run of 4500 examples held over 1 GB, most of it what hypothesis keeps of each example; between checks it is let go (52 MB after four of 100).

--- a/granitepoint/modelcheck/__main__.py
+++ b/granitepoint/modelcheck/__main__.py
@@ -9,7 +9,7 @@
 
 from granitepoint.modelcheck.check import CHECKS, Found, check
 
-BAD_INPUT = 2
+BATCH = 500  # examples with one seed: what hypothesis keeps of each comes to some hundred KB
 
 
 def positive(text: str) -> int:
@@ -44,7 +44,9 @@
         begun = time.monotonic()
         figures: Counter[str] = Counter()
         try:
-            check(name, asked.examples, asked.steps, asked.seed, figures)
+            for first in range(0, asked.examples, BATCH):
+                batch = min(BATCH, asked.examples - first)
+                check(name, batch, asked.steps, asked.seed + first, figures)
         except Found as found:
             failed = True
             print(f"{name}: FOUND {found}\n\n{found.test}")
