--- a/tests/test_fleet_run.py
+++ b/tests/test_fleet_run.py
@@ -132,5 +132,6 @@
 def test_the_proxy_and_the_simulators_adapter_import_nothing_of_it() -> None:
     code = "import sys, granitepoint.__main__, granitepoint.benchlink; print(*sorted(sys.modules))"
     loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
-    for name in ("granitepoint.fleet", "msgspec", "numpy", "hdrh", "psutil", "rich", "cyclopts"):
+    mine = ("granitepoint.fleet", "granitepoint.modelcheck")
+    for name in (*mine, "hypothesis", "msgspec", "numpy", "hdrh", "psutil", "rich", "cyclopts"):
         assert name not in loaded.split()
