--- a/granitepoint/modelcheck/proxy.py
+++ b/granitepoint/modelcheck/proxy.py
@@ -456,8 +456,8 @@
             raise RuleBroken("answer", f"{[each.id for each in asked]} are unanswered at the end")
         left = {
             "calls": len(self.driver.calls),
-            "attempts": len(self.driver.out),
-            "ids": len(self.driver.ids),
+            # The process ends on attempts whose callers have left: nobody waits for these.
+            "ids beside those of attempts": len(self.driver.ids) - len(self.driver.out),
             "connections of callers": sum(not each.leaving for each in self.server.connections),
         }
         if any(left.values()):
--- a/granitepoint/modelcheck/world.py
+++ b/granitepoint/modelcheck/world.py
@@ -190,7 +190,9 @@
 
     # the clock
     def next_due(self) -> float:
-        """When the next timer or time-out is due."""
+        """When the next timer or time-out is due; what has happened already, as after a call-off, at once."""
+        if self.pending:
+            return self.now
         dues = [at for at, _ in self.timers]
         dues += [attempt.due for call in self.open.values() for attempt in call.out]
         return min(dues, default=math.inf)
