--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -280,7 +280,7 @@
         self.group, self.window = cls.group, cls.window
         self.late_counts = cls.late_worth > 0
         # The target of an inner call: a caller makes about two calls, one after another, at each tier.
-        self.least_target = TARGET * cls.aim / 2**stage
+        self.least_target = TARGET * cls.aim * 0.5**stage
         # Until the unhurried latency is known the target is the loosest: where an instance sees a call a
         # second, a guess of the unhurried latency that is too low closes W on a quiet day and keeps it shut.
         self.target = MOST_TARGET * cls.aim
@@ -803,7 +803,9 @@
                 self.quota_left[event.tenant] -= 1
             else:
                 worth *= self.settings.over_share_worth
-        left = self.aim_left(cls, event.budget, event.resent)
+        # What the client said, not what is left of it: a pause of this instance is no wait of the client's.
+        stated = event.stated if 0 < event.stated < math.inf else event.budget
+        left = self.aim_left(cls, stated, event.resent)
         useful = event.budget if cls.late_counts else min(event.budget, left)
         call = Call(event.call, cls, worth, now, now + event.budget, now + useful)
         self.gate.calls[call.id] = call
