Answer what stands behind a refused request on a connection without room

Cause: where the descriptors are full (or in the last second before the end) a connection is extra, and _next (net/server.py) answered its first request with a close, which drops what has come whole behind it: requests that were taken got no answer. answer() guards this for the wind-down, extra did not. Found by the state machine over the sockets' ending paths, confirmed by its shortest case: two requests in one piece on the 31st connection of 64 descriptors gave 503 and nothing; now 503 twice, then the close. The test fails without the change.

--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -333,8 +333,8 @@
             elif isinstance(request, BadRequest):
                 self.answer(request.code, NO_HEADERS, f"{request}\n".encode())
             elif self.extra:
-                # Never sent, so a refusal is harmless.
-                self.keep_alive = False
+                # Never sent, so a refusal is harmless; what has come behind it is owed one too.
+                self.keep_alive = self.keep_alive and bool(self.waiting)
                 self.answer(503, self.server.advice, b"no room for this connection\n")
             else:
                 try:
--- a/tests/test_modelcheck.py
+++ b/tests/test_modelcheck.py
@@ -14,6 +14,7 @@
 from granitepoint.modelcheck import __main__ as command
 from granitepoint.modelcheck.__main__ import main
 from granitepoint.modelcheck.check import Found, check
+from granitepoint.modelcheck.proxy import CLASSES, Model
 from granitepoint.modelcheck.world import Make, RuleBroken
 from granitepoint.net.server import ClientConnection
 
@@ -151,3 +152,18 @@
     monkeypatch.setattr(command, "check", breach)
     assert main(asked) == 1
     assert "def test_found()" in capsys.readouterr().out
+
+
+def test_what_stands_behind_a_refused_request_on_a_connection_without_room_is_refused_too() -> None:
+    model = Model(0, 1, 64)
+    try:
+        for _ in range(model.server.most_open):
+            caller = model.client()
+            caller.send(model.request(caller, CLASSES[0], 1.0))
+        model.run(0.01)
+        late = model.client()
+        late.send(model.request(late, CLASSES[0], 1.0) + model.request(late, CLASSES[0], 1.0))
+        model.run(0.01)
+        assert [asked.code for asked in late.asked] == [503, 503]
+    finally:
+        model.stop()
