Share a cold server's budget by the peak for each unit of size, not by the whole peak

Cause: fill_tokens (logic.py) took an instance's highest send rate of the last minute, whatever pool it went to, and gave a cold server its part of the present pool. Where most of the pool has gone the one that is left got up to the whole peak times its ramp times 1.5, which passes the rule's budget once fewer than a third are left. The peak is now for each unit of size, against the pool's size as remembered over the same time as the rate. The test fails without the change.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -94,7 +94,7 @@
 FAILING_STEP = 0.3  # weight of the newest answer in the share of a class's calls that a server fails
 FAILING_MEMORY = 5.0  # s in which such a share fades, so that the server is tried again
 COLD_SHARE = 0.5  # share of the allowed multiple of a cold server's capacity that all instances may use
-PEAK_MEMORY = 60.0  # s, memory of an instance's highest send rate: long against a ramp
+PEAK_MEMORY = 60.0  # s, memory of an instance's highest send rate for a unit of size: long against a ramp
 ASK_AGAIN = 1.3  # s after a failed call within which discovery is asked again: what it has is told soon
 DOUBT_SPREAD = 2.0  # s over which instances ask again where servers contradict the list: all see it at once
 DOUBT_SPACING = 8.0  # s since it asked or was told within which an instance does not doubt the list
@@ -452,7 +452,8 @@
         self.mean_load = Mean(1.0)
         self.zone_load: dict[str, Mean] = {}  # reported calls for each unit of size
         self.errors = Mean(0.0)
-        self.send_rate = self.peak_rate = 0.0
+        self.send_rate = self.peak_rate = 0.0  # sends a second; the highest for each unit of size
+        self.hints = 0.0  # units of size of the pool, as remembered
         self.unit = 0.1  # s, the mean latency of a call
         self.aim = max(cls.aim for cls in settings.classes)
         self.idle_safe = settings.conn_idle  # s without use after which a connection is still trusted
@@ -538,12 +539,15 @@
         what the server can do by now, so that all together stay under the budget of any window."""
         total = sum(server.hint for server in self.pool)
         share = COLD_SHARE * self.settings.fall_multiple
+        # As the send rate remembers: what went to many is no measure of what the few that are left can do.
+        self.hints += (total - self.hints) * (min(1.0, span / MEMORY) if self.hints else 1.0)
         # The peak, not the present rate: else few sends allow fewer still, and a fleet in a roll stays cold.
-        self.peak_rate = max(self.send_rate, self.peak_rate * (1 - span / PEAK_MEMORY))
+        present = self.send_rate / self.hints if self.hints else 0.0
+        self.peak_rate = max(present, self.peak_rate * (1 - span / PEAK_MEMORY))
         for server in self.pool:
             ramp = self.ramp(server, now)
             if ramp < 1:
-                rate = self.peak_rate * server.hint / total * ramp * share
+                rate = self.peak_rate * server.hint * ramp * share
                 server.tokens = min(1.0 + rate * STEP, server.tokens + rate * span)
 
     @property
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -307,6 +307,20 @@
     assert cold.tokens == pytest.approx(40 / 2 * 0.3 * 1.5 * 0.05, rel=0.02)
 
 
+def test_what_went_to_many_is_no_measure_of_a_cold_server_that_is_left_alone() -> None:
+    # Found by the model of a fleet: the peak of four servers was the part of the one that was left.
+    driver = Driver(settings(), servers=entries(1, 2, 3, 4))
+    servers = driver.balancer.servers
+    servers.send_rate = 40.0
+    servers.fill_tokens(driver.now, 0.05)
+    servers.take_list(ServerList(ListKind.FULL, entries(1, started_at=driver.now)), driver.now)
+    (left,) = servers.pool
+    left.tokens = 0.0
+    servers.fill_tokens(driver.now, 0.05)
+    # A quarter of the peak, what a cold server has by now (0.3), and 1.5 times that.
+    assert left.tokens == pytest.approx(10 * 0.3 * 1.5 * 0.05, rel=0.05)
+
+
 def test_asking_starts_within_two_seconds_and_backs_off() -> None:
     driver = Driver(settings(ask_for_list=True))
     driver.wait(2.1)
