--- a/tests/test_modelcheck.py
+++ b/tests/test_modelcheck.py
@@ -159,9 +159,11 @@
     try:
         for _ in range(model.server.most_open):
             caller = model.client()
+            assert caller is not None
             caller.send(model.request(caller, CLASSES[0], 1.0))
         model.run(0.01)
         late = model.client()
+        assert late is not None
         late.send(model.request(late, CLASSES[0], 1.0) + model.request(late, CLASSES[0], 1.0))
         model.run(0.01)
         assert [asked.code for asked in late.asked] == [503, 503]
