Let a caller that was told there is no room make none for the next

With the proxy stopped while 45 callers came (64 descriptors, 30 places) the callers beyond the bound were told 'no room' and served in turn, and nine of them were reset unread. Cause: Server._make_room (server.py) aborts a connection that was itself beyond the bound and is leaving, and add() took that for a place among those served. So the bound of most_open was passed up to most_ever, and what was kept for telling newcomers that there is no room was spent. It needs two accepts before the first one is gone, hence a busy machine. Ruled out: the reading of the requests (all 45 were read whole), and the test's own order. Change: connections that came beyond the bound are counted apart; they make room for each other alone. Result: all 15 beyond the bound are told so, none is reset. The new test fails without the change; it forces the crossing by stopping the process.

--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -9,7 +9,7 @@
 import socket
 import time
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from itertools import islice, takewhile
 from typing import Any, Protocol, cast
@@ -202,6 +202,7 @@
         self.waiting.clear()
         self.server.place(self, None)
         self.server.connections.discard(self)
+        self.server.extras.discard(self)
         self.server.unread.discard(self)
         self.server.long.discard(self)
         call, self.call = self.call, None
@@ -460,6 +461,7 @@
         self.most_ever = max(8, min(sockets - others, by_memory))
         self.most_open = self.most_ever - int(self.most_ever * EXTRA_SHARE)
         self.connections: set[ClientConnection] = set()
+        self.extras: set[ClientConnection] = set()  # of these, those that came when there was no room
         self.unread: set[ClientConnection] = set()  # not read from for now
         self.long: set[ClientConnection] = set()  # hold a long request
         self.fresh: dict[ClientConnection, None] = {}  # owe a whole request
@@ -486,20 +488,21 @@
         """Descriptors are bounded: beyond the bound, a connection that is of no use makes room. Where all
         are, the newcomer's request is refused, and in the end the newcomer itself."""
         self.connections.add(connection)
-        if len(self.connections) > self.most_open and not self._make_room():
-            if len(self.connections) > self.most_ever:
-                connection.abort()
-                return
+        if len(self.connections) - len(self.extras) > self.most_open and not self._make_room():
             connection.extra = True
+            self.extras.add(connection)
+        if len(self.connections) > self.most_ever and not self._make_room(among_extras=True):
+            connection.abort()
+            return
         self.place(connection, self.fresh)
 
-    def _make_room(self) -> bool:
+    def _make_room(self, among_extras: bool = False) -> bool:
+        """One that was told that there is no room leaves a descriptor, but no place among those served."""
         now = time.monotonic()
         tables = {"fresh": self.fresh, "kept": self.kept, "leaving": self.leaving}
         for which, age in YIELDS:
-            for oldest in islice(tables[which], LOOKED_AT):
-                if oldest.since > now - age:
-                    break
+            old = self._older(tables[which], now - age)
+            for oldest in islice((held for held in old if (held in self.extras) == among_extras), LOOKED_AT):
                 if oldest.leaving or not oldest.has_unread():
                     self.place(oldest, None)
                     oldest.abort()
@@ -571,7 +574,7 @@
             (self.kept, KEPT, ClientConnection.close),
             (self.leaving, LINGER, ClientConnection.abort),
         ):
-            for connection in self._older(table, now - bound):
+            for connection in list(self._older(table, now - bound)):
                 # What has just come is read first; what then is still not whole is overdue.
                 first_look = table is not self.leaving and connection.since > now - bound - SWEEP
                 if not (first_look and connection.has_unread()):
@@ -579,8 +582,8 @@
         self._sweep_later()
 
     @staticmethod
-    def _older(table: dict[ClientConnection, None], than: float) -> list[ClientConnection]:
-        return list(takewhile(lambda connection: connection.since <= than, table))
+    def _older(table: dict[ClientConnection, None], than: float) -> Iterator[ClientConnection]:
+        return takewhile(lambda connection: connection.since <= than, table)
 
     def _end_those_that_left(self) -> None:
         """The end of a connection that is not read from lies behind what is unread, so the loop does not hear
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -540,6 +540,32 @@
     run(test())
 
 
+def test_callers_that_were_told_that_there_is_no_room_make_none_for_others() -> None:
+    """They come while the process stands still, so each is accepted while the one before still leaves."""
+
+    async def test() -> None:
+        free = asyncio.Event()
+
+        async def behave(seen: Seen, writer: asyncio.StreamWriter) -> None:
+            await free.wait()
+            await serve_ok(seen, writer)
+
+        limits = {**SETTINGS["policy_limits"], "most_held": 40}
+        async with proxy({"s-1": Backend(behave)}, sockets=64, policy_limits=limits) as node:
+            node.process.send_signal(signal.SIGSTOP)
+            callers = [await node.caller() for _ in range(45)]
+            for number, caller in enumerate(callers):
+                caller.send("canje", f"{number:016x}", budget="9000m")
+            node.process.send_signal(signal.SIGCONT)
+            told = [await caller.answer() for caller in callers[30:]]
+            assert {answer.code for answer in told} == {503}
+            assert {answer.body for answer in told} == {b"no room for this connection\n"}
+            free.set()
+            assert [(await caller.answer()).code for caller in callers[:9]] == [200] * 9
+
+    run(test())
+
+
 def test_an_idle_connection_makes_room_for_a_new_caller() -> None:
     """Kept connections that ask nothing must not shut others out."""
 
