Structured logs: named events with named values, as key=value or JSON

Log lines were free text, so figures were read by eye and a request could not be followed: no line held its id. The figures line is an event with named numbers. The sparse filter is kept; lines for debugging pass it, for they are asked for.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -4,20 +4,19 @@
 
 import asyncio
 import gc
-import logging
 import os
 import signal
 import sys
 import time
-from collections import Counter
 
 import uvloop
 
+from granitepoint.net import logs
 from granitepoint.net.config import Config, ConfigError, load, reread_discovery
 from granitepoint.net.driver import NO_ROOM_ADVICE, Driver
 from granitepoint.net.server import Server
 
-log = logging.getLogger("granitepoint")
+log = logs.Events("granitepoint.main")
 
 LAST_ACCEPT = 0.6  # s after SIGTERM at which the listener closes; the front has taken notice by then
 LONGEST_WAIT = 3.0  # s of the longest deadline that the platform waits for after SIGTERM
@@ -27,25 +26,6 @@
 REST = 0.2  # s of the wind-down in which a request that has begun to come may come whole
 DRAIN_STEP = 0.01  # s between looks whether all is answered
 LAST_BYTES = 1.0  # s for the last answers to be taken
-LOG_LINES = 20  # of one kind
-LOG_SPAN = 10.0  # s for which no more are written
-
-
-class Sparse(logging.Filter):
-    """A flood of bad input must not become a flood of lines."""
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.until = 0.0
-        self.lines: Counter[object] = Counter()
-
-    def filter(self, record: logging.LogRecord) -> bool:
-        now = time.monotonic()
-        if now >= self.until:
-            self.until = now + LOG_SPAN
-            self.lines.clear()
-        self.lines[record.msg] += 1  # the template, not the text
-        return self.lines[record.msg] <= LOG_LINES
 
 
 async def drain(server: Server, driver: Driver) -> None:
@@ -55,11 +35,11 @@
     longest = max(cls.deadline for cls in driver.settings.classes)
     answered_by = min(longest, LONGEST_WAIT) + KILL_SPARE - SPARE
     driver.end_by = time.monotonic() + answered_by
-    log.info("SIGTERM: %d connections, %d calls open", len(server.connections), len(driver.calls))
+    log.info("sigterm", connections=len(server.connections), calls=len(driver.calls))
     await asyncio.sleep(LAST_ACCEPT)
     await server.take_last(driver.end_by)
     await asyncio.sleep(driver.end_by - WIND_DOWN - time.monotonic())
-    log.info("winding down: %d connections, %d calls open", len(server.connections), len(driver.calls))
+    log.info("winding_down", connections=len(server.connections), calls=len(driver.calls))
     server.draining = True
     rest_by = time.monotonic() + REST
     while driver.calls or (server.begun and time.monotonic() < rest_by):
@@ -80,9 +60,9 @@
     try:
         at = reread_discovery(os.environ)
     except ConfigError as fault:
-        log.error("reload: %s; all stays as it was", fault)
+        log.error("reload_failed", fault=str(fault), effect="all stays as it was")
         return
-    log.info("reload: discovery is at %s:%d", *at)
+    log.info("reloaded", discovery="{}:{}".format(*at))
     driver.discovery.move(at)
 
 
@@ -97,7 +77,7 @@
     loop.add_signal_handler(signal.SIGHUP, reload, driver)  # before it is ready, and for good
     driver.start()
     await server.listen(*config.listen)
-    log.info("listening, %s", "ready" if driver.ready() else "not ready: no backend is known to serve")
+    log.info("listening", address="{}:{}".format(*config.listen), ready=driver.ready())
     # What is alive now stays alive: it need not be looked at again and again in pauses that calls wait for.
     gc.collect()
     gc.freeze()
@@ -118,10 +98,9 @@
 
 def run() -> int:
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # one that comes while it starts finds the new file read
-    logging.basicConfig(stream=sys.stderr, level=logging.INFO, format="%(levelname)s %(name)s: %(message)s")
-    logging.getLogger().handlers[0].addFilter(Sparse())
     try:
         config = load(os.environ)
+        logs.start(sys.stderr, *config.logs)
         asyncio.Runner(loop_factory=uvloop.new_event_loop).run(serve(config))
     except ConfigError as fault:
         print(f"granitepoint: {fault}", file=sys.stderr)
--- a/granitepoint/cli/app.py
+++ b/granitepoint/cli/app.py
@@ -13,7 +13,7 @@
 from importlib.metadata import PackageNotFoundError
 from importlib.metadata import version as version_of
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated, Any, Literal
 
 import cyclopts
 import msgspec
@@ -117,15 +117,24 @@
 
 
 @app.command
-def run() -> int:
+def run(
+    *,
+    log_format: Annotated[
+        Literal["text", "json"], cyclopts.Parameter(env_var="EDGE_LOG_FORMAT", help="of a log line")
+    ] = "text",
+    log_level: Annotated[
+        Literal["debug", "info", "warning", "error"],
+        cyclopts.Parameter(env_var="EDGE_LOG_LEVEL", help="debug tells each request's own lines"),
+    ] = "info",
+) -> None:
     """Start one proxy and keep to the foreground; the same as no command at all.
 
     EDGE_CONFIG names its file; EDGE_NAME, EDGE_LISTEN and EDGE_DISCOVERY come before what that says. SIGHUP
     rereads the address of discovery, SIGTERM answers what was taken and ends.
     """
-    from granitepoint.__main__ import run as start
-
-    return start()
+    # The same process, but without what reads arguments: a proxy's memory is bounded and paid for.
+    logged = {"EDGE_LOG_FORMAT": log_format, "EDGE_LOG_LEVEL": log_level}
+    os.execve(sys.executable, [sys.executable, "-m", "granitepoint", "run"], {**os.environ, **logged})
 
 
 def _findings(findings: Iterable[checking.Finding], kind: str) -> list[list[str]]:
--- a/granitepoint/fleet/worker.py
+++ b/granitepoint/fleet/worker.py
@@ -32,6 +32,7 @@
 from granitepoint.fleet.plan import BackendPlan, ProxyPlan, derive
 from granitepoint.fleet.proxies import Hollow, Stages
 from granitepoint.fleet.wire import Listener, Message, split_address
+from granitepoint.net import logs
 from granitepoint.net.config import Config, flatten
 
 LONGEST_LIFE = 900.0  # s
@@ -538,7 +539,7 @@
 
 def main() -> int:
     signal.signal(signal.SIGINT, signal.SIG_IGN)  # the run decides when this ends
-    logging.basicConfig(stream=sys.stderr, level=logging.ERROR)
+    logs.start(sys.stderr, level=logging.ERROR)
     asyncio.Runner(loop_factory=uvloop.new_event_loop).run(bounded())
     return 0
 
--- a/granitepoint/net/config.py
+++ b/granitepoint/net/config.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import resource
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -12,6 +13,7 @@
 
 from granitepoint.benchlink import read_settings
 from granitepoint.interface import Settings
+from granitepoint.net import logs
 
 Address = tuple[str, int]
 MOST_SEED = 1 << 256
@@ -31,6 +33,7 @@
     memory_mb: float
     known: Mapping[str, Any]  # the list of backends as last held, in discovery's form
     settings: Settings
+    logs: tuple[logs.Format, int] = (logs.Format.TEXT, logging.INFO)  # how, and from which level on
 
 
 def address(text: object) -> Address:
@@ -119,6 +122,7 @@
             memory_mb=memory_mb,
             known=known,
             settings=read_settings(flatten(raw["settings"])),
+            logs=logs.chosen(environ),
         )
     except (OSError, ValueError, TypeError, AttributeError, OverflowError, RecursionError) as fault:
         raise _error(fault) from None
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import json
-import logging
 import time
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
@@ -16,8 +15,9 @@
 
 from granitepoint.interface import ServerEntry, ServerState
 from granitepoint.net.config import Address, address
+from granitepoint.net.logs import Events
 
-log = logging.getLogger(__name__)
+log = Events(__name__)
 
 RENEW = 18.0  # s after which a watch that has said nothing is asked anew: it may have fallen silent
 HOLD_MS = 25_000  # how long a watch may wait; what a silent one misses counts as told 2 s after that
@@ -283,11 +283,12 @@
                 raise ValueError(f"status {code}")
             listing = read_listing(json.loads(body))
             if lists != self.lists and self.version is not None and listing.version < self.version:
-                log.info("list %d comes after list %d and is dropped", listing.version, self.version)
+                log.info("list_dropped", version=listing.version, held=self.version)
                 return True
             self.on_list(listing)
         except Exception as fault:
-            log.warning("discovery %s:%d: %s", *self.at, str(fault)[:200] or type(fault).__name__)
+            told = str(fault) or type(fault).__name__
+            log.warning("discovery_failed", discovery="{}:{}".format(*self.at), fault=told)
             return False
         self.lists += 1
         self.version = listing.version
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import math
 import time
 from collections import Counter
@@ -19,6 +18,7 @@
 from granitepoint.logic import Balancer
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import Discovery, Listing, read_listing
+from granitepoint.net.logs import Events
 from granitepoint.net.server import Headers, Reply, Request
 from granitepoint.net.upstream import (
     HOP_BY_HOP,
@@ -30,7 +30,7 @@
     Upstreams,
 )
 
-log = logging.getLogger(__name__)
+log = Events(__name__)
 
 LEAST_MARGIN = 0.02  # s before a caller's deadline at which its answer leaves at the latest
 MOST_MARGIN = 0.15  # s
@@ -101,6 +101,7 @@
         self.flush_at: asyncio.Handle | None = None
         self.flushed = 0.0
         self.end_by = math.inf  # when the process is to end: what comes now is answered by then
+        self.tracing = log.debugging  # each request's own lines are wanted
         self.counts: Counter[str] = Counter()  # what came and how it ended, since the last line of figures
         self.lag = 0.0  # s, how late this loop was lately
         self.on_empty: Callable[[], None] | None = None
@@ -114,7 +115,7 @@
             api.CloseIdle: self._close_idle,
             api.Watch: lambda action: self.discovery.watch(action.on),
             api.Fetch: lambda action: self.discovery.fetch(),
-            api.Log: lambda action: log.info("module: %s", action.text),
+            api.Log: lambda action: log.info("module", text=action.text),
             api.Tell: lambda action: None,  # there is no talk between proxies
         }
         try:
@@ -154,12 +155,13 @@
                 for s in self.balancer.servers.known.values()
             )
             log.info(
-                "figures: W %.1f, procQ %.3f, rate %.1f, cut %g, out %d, held %d, servers %s, targets %s; %s",
-                admission.window, admission.proc, admission.rate, admission.cut, self.balancer.busy,
-                len(self.balancer.queue),
-                " ".join(f"{state} {count}" for state, count in sorted(states.items())),
-                " ".join(f"{kind.name} {kind.target:.2f} of mean {kind.mean.value:.2f}" for kind in kinds),
-                ", ".join(f"{name} {count}" for name, count in sorted(counts.items())),
+                "figures",
+                window=admission.window, latency_s=admission.proc, rate_per_s=admission.rate,
+                cut=admission.cut, out=self.balancer.busy, held=len(self.balancer.queue),
+                **{f"servers.{state}": count for state, count in sorted(states.items())},
+                **{f"target.{kind.name}_s": kind.target for kind in kinds},
+                **{f"mean.{kind.name}_s": kind.mean.value for kind in kinds},
+                **{name.replace(" ", "."): count for name, count in sorted(counts.items())},
             )  # fmt: skip
 
     def stop(self) -> None:
@@ -189,14 +191,14 @@
             try:
                 self.carriers[type(action)](action)
             except Exception:
-                log.exception("an action failed: %s", action)
+                log.exception("action_failed", action=str(action))
                 number = getattr(action, "call", None)
                 if number is not None:
                     self._give_up(number)
 
     def _recover(self, events: list[api.Event]) -> None:
         """The module failed on a batch: its calls fail, its timers come again, the rest goes on."""
-        log.exception("the module failed on %d events", len(events))
+        log.exception("module_failed", events=len(events))
         for event in events:
             if isinstance(event, api.Arrival | api.Outcome):
                 self._give_up(event.call)
@@ -240,6 +242,8 @@
             return None
         self.calls_taken += 1
         self.counts["calls"] += 1
+        if self.tracing:
+            log.debug("call_taken", id=request.id, cls=request.cls, budget_s=request.budget)
         number = self.calls_taken
         # What the budget has lost before the request was read shows only as this loop's lag.
         # No client of a class waits longer than its deadline, whatever it says.
@@ -273,6 +277,8 @@
 
     def left(self, call: OpenCall) -> None:
         if call.open:
+            if self.tracing:
+                log.debug("caller_left", id=call.request.id)
             self._settle(call)
             self._push(api.Gone(call.number))
 
@@ -295,6 +301,8 @@
         """The final answer. After it the call is gone from the table, so there is no second one."""
         self._settle(call)
         self.counts[f"answer {code}"] += 1
+        if self.tracing:
+            log.debug("call_answered", id=call.request.id, code=code)
         call.reply.answer(code, headers, body)
 
     def _settle(self, call: OpenCall) -> None:
@@ -319,7 +327,7 @@
         upstream = self.upstreams.by_id.get(action.server)
         if upstream is None or not upstream.serving or call.exchange is not None:
             if call.exchange is not None:
-                log.error("call %d: a second attempt while one is out", call.number)
+                log.error("second_attempt", id=call.request.id)
             self._push(api.Outcome(call.number, number, action.server, api.Status.MOOT, 0.0, False))
             return
         timeout = min(action.timeout, call.deadline - time.monotonic())
@@ -336,8 +344,12 @@
         def done(exchange: Exchange) -> None:
             self._attempt_ended(call, number, action.server, exchange)
 
+        sent_as = call.request.id
+        if self.tracing:
+            backend = "{}:{}".format(*upstream.address)
+            log.debug("attempt_begun", id=sent_as, number=number, backend=backend, timeout_s=timeout)
         exchange = Exchange(
-            upstream, request, max(0.0, timeout), may_start, done, action.trust, action.within
+            upstream, request, max(0.0, timeout), may_start, done, action.trust, action.within, sent_as
         )
         call.exchange = self.out[call.number] = exchange
         self.upstreams.start(exchange)
@@ -348,6 +360,9 @@
         call.exchange = None
         self.counts[f"attempt {status.name.lower()}"] += 1
         self.out.pop(call.number, None)
+        if self.tracing:
+            after, told = exchange.elapsed, status.name.lower()
+            log.debug("attempt_ended", id=call.request.id, number=number, status=told, after_s=after)
         if status not in api.NEVER_RAN:
             call.ran = True
         if not call.open:
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import logging
 import re
 import select
 import socket
@@ -17,9 +16,10 @@
 import httptools
 
 from granitepoint.interface import Effect
+from granitepoint.net.logs import Events
 from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, UPSTREAM_SHARE, clean
 
-log = logging.getLogger(__name__)
+log = Events(__name__)
 
 MOST_BODY = 256 * 1024  # bytes of a request
 LONG_BODY = 64 * 1024  # bytes beyond which it is a long one; few are held at once
@@ -341,7 +341,7 @@
                 try:
                     call = self.server.handler.opened(request, self)
                 except Exception:
-                    log.exception("a request could not be taken")
+                    log.exception("request_not_taken", id=request.id)
                     self.answer(500, NO_HEADERS, b"internal error\n")
                     continue
                 if self.answering:
@@ -594,5 +594,5 @@
                 watched[connection.fileno] = connection
                 poll.register(connection.fileno, GONE)
         for number, _ in poll.poll(0) if watched else ():
-            log.info("a caller left with bytes unread behind its request")
+            log.info("caller_left_unread")
             watched[number].abort()
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import errno
-import logging
 import math
 import select
 import time
@@ -17,8 +16,9 @@
 from granitepoint.interface import ServerState, Status
 from granitepoint.net.config import Address
 from granitepoint.net.discovery import Listing
+from granitepoint.net.logs import Events
 
-log = logging.getLogger(__name__)
+log = Events(__name__)
 
 MOST_BODY = 256 * 1024  # bytes of an answer
 MOST_HEAD = 32 * 1024  # bytes of an answer's headers, with all 1xx answers ahead of it
@@ -53,8 +53,9 @@
     """
 
     __slots__ = (
-        "body", "code", "connection", "done", "due", "elapsed", "ends_at", "headers", "loop", "may_start",
-        "request", "rested", "send_by", "sent", "started_at", "status", "tail", "timer", "trust", "upstream",
+        "body", "code", "connection", "done", "due", "elapsed", "ends_at", "headers", "id", "loop",
+        "may_start", "request", "rested", "send_by", "sent", "started_at", "status", "tail", "timer", "trust",
+        "upstream",
     )
 
     def __init__(
@@ -66,7 +67,9 @@
         done: Callable[[Exchange], None],
         trust: float = math.inf,
         within: float = math.inf,
+        id: bytes = b"",
     ) -> None:
+        self.id = id  # of the request, for the log
         self.upstream = upstream
         self.request = request  # given the time left in s, at the first byte
         self.tail = b""  # the last byte, held back
@@ -96,15 +99,15 @@
         connection, self.connection = self.connection, None
         if connection is not None:
             log.info(
-                "%s: backend %s:%d after %.3f s, %d bytes answered; connection rested %.3f s, carried %d",
-                status.name.lower(), *self.upstream.address, self.elapsed, connection.raw, connection.rested,
-                connection.carried,
+                "attempt_given_up", id=self.id or None, status=status.name.lower(),
+                backend="{}:{}".format(*self.upstream.address), after_s=self.elapsed,
+                answered_bytes=connection.raw, rested_s=connection.rested, carried=connection.carried,
             )  # fmt: skip
             connection.abandon()
         try:
             self.done(self)
         except Exception:  # one call's fault must not end the callbacks of a connection
-            log.exception("the end of an exchange failed")
+            log.exception("exchange_end_failed", id=self.id or None)
 
     def cancel(self) -> None:
         self.end(Status.CANCELLED if self.sent else Status.MOOT)
@@ -195,10 +198,9 @@
                 return
             now = time.monotonic()
             log.info(
-                "reset: backend %s:%d %.3f s after the request, %d bytes answered; connection %.2f s old, "
-                "rested %.3f s, carried %d",
-                *self.upstream.address, now - exchange.started_at, self.raw, now - self.made_at, self.rested,
-                self.carried,
+                "attempt_reset", id=exchange.id or None, backend="{}:{}".format(*self.upstream.address),
+                after_s=now - exchange.started_at, answered_bytes=self.raw, connection_s=now - self.made_at,
+                rested_s=self.rested, carried=self.carried,
             )  # fmt: skip
             exchange.end(Status.RESET)
 
@@ -224,7 +226,10 @@
                 raise ValueError("the answer does not end")
         except Exception as fault:  # garbage; it may still have run
             cause = fault.__context__ or fault
-            log.warning("a backend's answer can't be used: %s: %s", self.upstream.address, str(cause)[:200])
+            log.warning(
+                "answer_unusable", id=self.exchange.id or None,
+                backend="{}:{}".format(*self.upstream.address), fault=str(cause),
+            )  # fmt: skip
             spoilt = True
         if self.answer is not None:
             if spoilt:  # it is whole and good, but more came than belongs to it
@@ -505,7 +510,7 @@
             own = isinstance(fault, OSError) and fault.errno in OWN_FAULTS
             exchange.end(Status.MOOT if own else Status.CONNECT_FAILED)
         except Exception:
-            log.exception("backend %s: an attempt failed", at)
+            log.exception("attempt_failed", id=exchange.id or None, backend="{}:{}".format(*at))
             connection.abandon()
             exchange.end(Status.RESET)
 
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -238,11 +238,11 @@
             "limits": limits, "known": known, "settings": copy.deepcopy({**SETTINGS, **changes})}  # fmt: skip
 
 
-async def start_program(raw: object, folder: str) -> asyncio.subprocess.Process:
+async def start_program(raw: object, folder: str, **variables: str) -> asyncio.subprocess.Process:
     path = Path(folder) / "config.json"
     path.write_text(raw if isinstance(raw, str) else json.dumps(raw), encoding="utf-8")
     environ = {key: value for key, value in os.environ.items() if not key.startswith("EDGE_")}
-    environ["EDGE_CONFIG"] = str(path)
+    environ |= {**variables, "EDGE_CONFIG": str(path)}
     if isinstance(raw, dict):
         environ["EDGE_DISCOVERY"] = raw["discovery"]
     return await asyncio.create_subprocess_exec(
@@ -270,6 +270,7 @@
     backends: dict[str, Backend], discovery: Discovery | None = None, /, **changes: Any
 ) -> AsyncIterator[Proxy]:
     """A proxy before these backends, ready; ended by force if the test has not ended it."""
+    variables = changes.pop("variables", {})
     own = discovery or await Discovery().start()
     for backend in backends.values():
         if not backend.address:
@@ -278,7 +279,7 @@
     with held_address() as listen, tempfile.TemporaryDirectory() as folder:
         host, _, port = listen.rpartition(":")
         raw = config(own.address, known, listen, **changes)
-        process = await start_program(raw, folder)
+        process = await start_program(raw, folder, **variables)
         try:
             await until_ready(process, (host, int(port)))
             yield Proxy(process, (host, int(port)), Path(folder) / "config.json", raw)
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -12,8 +12,8 @@
 import pytest
 from netkit import GRADES, PATIENCE, Backend, Caller, Proxy, Seen, next_call, proxy, run, serve_ok
 
-from granitepoint.__main__ import LOG_LINES, Sparse
 from granitepoint.interface import Effect
+from granitepoint.net.logs import LINES, Sparse
 from granitepoint.net.server import ClientConnection, Server
 
 HEAD = b" HTTP/1.1\r\nHost: x\r\nX-Call-Id: 0011223344556677\r\nX-Budget: 500m\r\n"
@@ -308,5 +308,5 @@
     sparse = Sparse()
     record = logging.LogRecord("x", logging.WARNING, "", 0, "fault %d", (1,), None)
     other = logging.LogRecord("x", logging.WARNING, "", 0, "other", (), None)
-    assert sum(bool(sparse.filter(record)) for _ in range(10 * LOG_LINES)) == LOG_LINES
+    assert sum(bool(sparse.filter(record)) for _ in range(10 * LINES)) == LINES
     assert sparse.filter(other)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -69,7 +69,7 @@
             node.reload(text=text)
             async with asyncio.timeout(PATIENCE):
                 assert node.process.stderr is not None
-                while b"stays as it was" not in await node.process.stderr.readline():
+                while b"event=reload_failed" not in await node.process.stderr.readline():
                     pass
             discovery.put(2)
             assert "from=2" in await first_asked(discovery)  # the watch goes on
