--- a/granitepoint/cli/app.py
+++ b/granitepoint/cli/app.py
@@ -200,12 +200,56 @@
     try:
         from granitepoint.emulator.command import emulate as play
     except ModuleNotFoundError as fault:
-        if not fault.name or fault.name.startswith("granitepoint"):
-            raise
-        return _refuse(f"emulate needs {fault.name}: pip install 'granitepoint[fleet]'")
+        return _refuse_for("emulate", "fleet", fault)
     return play(day, json=json, seed=seed)
 
 
+def _refuse_for(command: str, extra: str, fault: ModuleNotFoundError) -> int:
+    """A library that is missing. Raises the fault where it is the program's own."""
+    if not fault.name or fault.name.startswith("granitepoint"):
+        raise fault
+    return _refuse(f"{command} needs {fault.name}: pip install 'granitepoint[{extra}]'")
+
+
+@app.command
+def experiment(
+    file: Path,
+    /,
+    *,
+    out: Annotated[
+        Path | None, cyclopts.Parameter(help="SQLite file of the results; FILE with .sqlite by default")
+    ] = None,
+    jobs: Annotated[int | None, cyclopts.Parameter(help="days played at a time; as many as cores")] = None,
+) -> int:
+    """Play variants of the module and its settings on days of the emulator, and compare them in pairs.
+
+    FILE crosses variants (a git revision, settings of the day) with days and seeds. What OUT holds already is
+    not played again; after a stop the rest is.
+    """
+    if jobs is not None and jobs < 1:
+        return _refuse("experiment: jobs must be at least 1")
+    try:
+        from granitepoint.experiments.command import experiment as play
+    except ModuleNotFoundError as fault:
+        return _refuse_for("experiment", "report", fault)
+    return play(file, out, jobs)
+
+
+@app.command
+def report(
+    results: Path,
+    /,
+    *,
+    out: Annotated[Path | None, cyclopts.Parameter(help="folder; RESULTS without its ending")] = None,
+) -> int:
+    """Write one HTML page and its plots from the results of an experiment."""
+    try:
+        from granitepoint.experiments.command import report as write
+    except ModuleNotFoundError as fault:
+        return _refuse_for("report", "report", fault)
+    return write(results, out)
+
+
 @app.command
 def schema() -> None:
     """Print the JSON Schema of the configuration, as docs/config.schema.json holds it."""
--- a/granitepoint/emulator/instance.py
+++ b/granitepoint/emulator/instance.py
@@ -90,6 +90,11 @@
                 call.ended = True
                 self.loop.at(call.deadline if silent else self.loop.now, self._lost, call)
 
+    def state(self) -> tuple[float, float, int, int]:
+        """Its limit of calls in flight, the share it means to refuse, attempts in flight and calls held."""
+        balancer = self.balancer
+        return balancer.admission.window, balancer.admission.drop(), balancer.busy, len(balancer.queue)
+
     # -- batches
     def post(self, event: api.Event) -> None:
         """Put an event into the next batch."""
--- a/granitepoint/emulator/tally.py
+++ b/granitepoint/emulator/tally.py
@@ -61,6 +61,20 @@
     worth_offered: float = 0.0
     worth_served: float = 0.0
     latency: dict[str, float] = msgspec.field(default_factory=dict)
+    offered_by: dict[str, int] = msgspec.field(default_factory=dict)  # class
+    in_time_by: dict[str, int] = msgspec.field(default_factory=dict)
+
+
+class Sample(Record, kw_only=True, tag="sample"):
+    """Where the instances before one tier stand at a moment; means over those alive."""
+
+    at_s: float
+    depth: int
+    instances: int
+    window: float  # limit of calls in flight
+    drop: float  # share that is to be refused
+    out: int  # attempts in flight, of all
+    held: int  # calls that wait for their first attempt or a further one, of all
 
 
 class Group(Record, kw_only=True, tag="group"):
@@ -124,6 +138,7 @@
         self.tenants = {t.name: Group(kind="tenant", name=t.name) for t in day.tenants}
         self.breaks = {"unanswered": 0, "repeat": 0, "drain": 0, "cold_fall": 0, "out_of_place": 0}
         self.seen: list[Seen] = []
+        self.samples: list[Sample] = []
         self.requests = self.open = self.steps = 0
         self.work_offered = 0.0
         self._latency: dict[int | str, Histogram] = {}
@@ -147,6 +162,8 @@
         self.requests += 1
         self.open += 1
         self.work_offered += request.cls.work_ms / 1e3 * self.work_share
+        by_class = request.window.offered_by
+        by_class[request.cls.name] = by_class.get(request.cls.name, 0) + 1
         for group in self.groups(request):
             group.offered += 1
             group.worth_offered += request.worth
@@ -157,6 +174,9 @@
             raise EmulatorFault(f"request {request.number} ended twice")
         request.ended = True
         self.open -= 1
+        if how == "in_time":
+            by_class = request.window.in_time_by
+            by_class[request.cls.name] = by_class.get(request.cls.name, 0) + 1
         worth = {"in_time": 1.0, "late": request.cls.late_worth}.get(how, 0.0) * request.worth
         for group in self.groups(request):
             group.ends[how] += 1
@@ -216,7 +236,7 @@
                 group.latency = self._latency[group.name].summary()
         windows = [window for window in self.windows if window.offered]
         groups = [*self.classes.values(), *self.tenants.values()]
-        return [begin, *self.seen, *windows, *groups, *self.depths, self.total()]
+        return [begin, *self.seen, *self.samples, *windows, *groups, *self.depths, self.total()]
 
 
 def _served(groups: Iterable[Window | Group]) -> float:
--- a/granitepoint/emulator/world.py
+++ b/granitepoint/emulator/world.py
@@ -14,7 +14,7 @@
 from granitepoint.emulator.loop import Loop
 from granitepoint.emulator.registry import Desk, Registry
 from granitepoint.emulator.server import Server
-from granitepoint.emulator.tally import Begin, EmulatorFault, Tally
+from granitepoint.emulator.tally import Begin, EmulatorFault, Sample, Tally
 from granitepoint.emulator.troubles import Troubles
 from granitepoint.fleet.plan import derive
 from granitepoint.fleet.results import Record
@@ -22,6 +22,7 @@
 
 TAIL = 5.0  # s after the last request has ended, in which what servers still do for nothing counts
 SLICE = 1.0  # s between two looks at whether all has ended
+SAMPLE = 1.0  # s between two looks at where instances stand
 
 
 class World:
@@ -143,6 +144,26 @@
             gc.set_threshold(*thresholds)
             gc.unfreeze()
 
+    def _sample(self, at: float) -> None:
+        for depth in range(len(self.tiers)):
+            alive = [one for one in self._instances_before(depth) if one.alive]
+            if alive:
+                windows, drops, out, held = zip(*[one.state() for one in alive], strict=True)
+                count = len(alive)
+                self.tally.samples.append(
+                    Sample(
+                        at_s=at, depth=depth, instances=count, window=round(sum(windows) / count, 6),
+                        drop=round(sum(drops) / count, 6), out=sum(out), held=sum(held),
+                    )  # fmt: skip
+                )
+        if at + SAMPLE <= self.day.duration_s:
+            self.loop.at(at + SAMPLE, self._sample, at + SAMPLE)
+
+    def _instances_before(self, depth: int) -> list[Instance]:
+        if depth == 0:
+            return self.proxies
+        return [server.instance for server in self.by_tier[depth - 1] if server.instance is not None]
+
     def _run(self) -> list[Record]:
         day = self.day
         begin = Begin(
@@ -156,6 +177,7 @@
         )
         self.clients.begin()
         self.troubles.begin()
+        self.loop.at(SAMPLE, self._sample, SAMPLE)
         until = day.duration_s
         self.loop.run(until)
         latest = until + max(cls.deadline_ms for cls in day.classes) / 1e3 + SLICE
--- a/tests/test_readme.py
+++ b/tests/test_readme.py
@@ -36,4 +36,4 @@
     version = re.compile(r"^(\w+) \d+(\.\w+)+$")
     assert [version.sub(r"\1", line) for line in got] == [version.sub(r"\1", line) for line in said]
     shown = set(re.findall(r"^\$ .*?granitepoint (\w+)", "".join(said), re.M))
-    assert shown == {"run", "check", "explain", "emulate", "schema", "version"}
+    assert shown == {"run", "check", "explain", "emulate", "experiment", "report", "schema", "version"}
