Do a call that seems stuck anew late, and pay for it by the work that it costs

Cause: Balancer.rescue (logic.py). A repeatable call that takes four times its class's mean was cancelled and done anew. Where work varies such calls are mostly heavy, not stuck: done anew they take as long, the first one's work goes on where a cancel stops none, and each of the tiers below does its part once more. One further attempt counted as one call of RETRY_SHARE, though it redid several calls' work, and each tier of a chain had a budget of its own. Ruled out: probes (50.9 to 62.5% with none or many), the pool's size (48.8% with 4 local servers, 53.2% with all 22), retries of what failed (max_attempts = 1 is the same as no cancel). Learning whether such attempts pay: too slow at 15 calls a second (61%). Change: a budget in mean calls' work, shared by the tiers of a chain, pays for what the first attempt has taken; and such a call is done anew when there is just time for it, or at once where its server has been ejected.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -83,6 +83,10 @@
 RETRY_BURST = 5.0  # further attempts that may come at once
 RETRY_UNSEEN = 0.25  # of a further attempt, that one after an attempt that never ran counts as
 RESCUE_AGE = 4.0  # mean latencies after which a call is taken to be stuck
+RESCUE_SHARE = 0.15  # mean calls' work, per arriving call, that all tiers together may spend on such calls
+RESCUE_BURST = 5.0  # mean calls' work that may be spent on them at once
+RESCUE_MOST = 20.0  # mean calls' work that one counts as at most: the mean may be a guess, or of light calls
+RESCUE_LEFT = 3.0  # mean latencies that must be left to such a call, and until then its first may be answered
 EJECT_FIRST = 0.5  # s of the first ejection; doubles up to EJECT_LONGEST
 EJECT_LONGEST = 8.0  # s
 EJECT_SHARE = 0.34  # share of the pool that soft signs may eject: if more look ill, the cause lies elsewhere
@@ -726,6 +730,7 @@
         self.busy = 0  # attempts that take a place in W
         self.arrivals = self.sends = 0
         self.retry_tokens = RETRY_BURST
+        self.rescue_tokens = RESCUE_BURST
         self.probe_tokens = FIRST_PROBES
         self.asks = settings.may_probe and ASK * settings.price_probe <= ASK_SPEND
         self.now = 0.0
@@ -816,6 +821,7 @@
         self.gate.calls[call.id] = call
         self.admission.history.append(worth)
         self.retry_tokens = min(RETRY_BURST, self.retry_tokens + RETRY_SHARE)
+        self.rescue_tokens = min(RESCUE_BURST, self.rescue_tokens + RESCUE_SHARE / self.settings.stages)
         fresh.append(call)
 
     def admit(self, call: Call) -> None:
@@ -1093,7 +1099,7 @@
             server, cls = attempt.server, attempt.call.cls
             known = cls.mean.count > 0
             if server.last_ok < attempt.sent_at and not server.ejected_until and not attempt.blamed:
-                attempt.blamed, attempt.rescued = True, known
+                attempt.blamed = True
                 server.slow_streak += 1
                 if server.slow_streak >= 2 or server.trial:
                     self.eject(server, hard=False)
@@ -1128,15 +1134,22 @@
             self.admission.window += self.admission.step()  # it was no sign of a crowd
 
     def rescue(self, attempt: Attempt) -> None:
-        """A further attempt for a call that seems stuck, where its class allows it."""
+        """A further attempt for a call that seems stuck, where its class allows it. Most such calls are
+        heavy: what was done goes on or is lost, and is done anew, at each tier below too. So it is paid for
+        by that work. Guards against heavy calls that crowd sound servers by being done twice. Harm: where
+        many connections go silent, some calls wait on them until their time is over."""
         call = attempt.call
-        if call.ended or call.streaming or call.queued or call.out > 1 or self.retry_tokens < 1:
+        if call.ended or call.streaming or call.queued or call.out > 1:
             return
-        if call.cls.effect is not Effect.REPEATABLE or not self.gate.may_repeat(call):
+        mean = call.cls.mean.value
+        left = call.useful_until - self.now
+        time_yet = left > max(RESCUE_LEFT * mean, mean + 2 * STEP) and not attempt.server.ejected_until
+        if time_yet or left < mean or min(self.retry_tokens, self.rescue_tokens) < 1:
             return
-        if call.useful_until - self.now < call.cls.mean.value:
+        if call.cls.effect is not Effect.REPEATABLE or not self.gate.may_repeat(call):
             return
         attempt.rescued = True
+        self.rescue_tokens -= min(RESCUE_MOST, (self.now - attempt.sent_at) / max(mean, LEAST_LATENCY))
         if self.settings.may_duplicate:
             self.retry_tokens -= 1
             self.hold(call)
