--- a/granitepoint/cli/check.py
+++ b/granitepoint/cli/check.py
@@ -18,6 +18,7 @@
 from granitepoint.cli import schema
 from granitepoint.net.config import flatten, own_address, read_seed
 from granitepoint.net.discovery import read_listing
+from granitepoint.net.logs import chosen
 from granitepoint.net.server import BASE_MEMORY
 
 LARGEST = 64 << 20  # bytes of a file; a list of 100,000 servers takes a third of it
@@ -302,6 +303,15 @@
         except RecursionError:
             self.fault("name", "nested too deeply")
 
+    def log(self) -> None:
+        for variable, default in (("EDGE_LOG_FORMAT", "text"), ("EDGE_LOG_LEVEL", "info")):
+            told = self.environ.get(variable)
+            try:
+                chosen({variable: told or ""})
+                self.put(variable, told or default, source=variable if told else "default")
+            except ValueError as fault:
+                self.fault(variable, _said(fault))
+
     def seed(self) -> None:
         seed = self.raw.get("seed", 0)
         try:
@@ -414,6 +424,7 @@
     top.seed()
     top.limits()
     top.known()
+    top.log()
     top.unknown(raw, schema.ConfigFile, "")
     settings = _read_settings(raw.get("settings"))
     rows = top.reading.rows + settings.rows
--- a/granitepoint/experiments/command.py
+++ b/granitepoint/experiments/command.py
@@ -41,14 +41,13 @@
 
 def print_results(plan: Experiment, totals: dict[tuple[str, str, int], Total], console: Console) -> None:
     """Each variant's means, and what it differs by from the baseline."""
-    table = Table("variant", "cells", *paired.FIGURES, title=f"{plan.name}: means", title_justify="left")
-    for variant in plan.variants:
-        mine = [total for (name, _, _), total in totals.items() if name == variant.name]
-        if mine:
-            means = [sum(map(read, mine)) / len(mine) for _, read in paired.FIGURES.values()]
-            table.add_row(variant.name, str(len(mine)), *[f"{mean:.4g}" for mean in means])
+    names = [variant.name for variant in plan.variants]
+    title = f"{plan.name}: means"
+    table = Table("day", "variant", "cells", *paired.FIGURES, title=title, title_justify="left")
+    for day, name, count, means in paired.means(totals, names):
+        table.add_row(day, name, str(count), *[f"{mean:.4g}" for mean in means])
     console.print(table)
-    found = paired.differences(totals, plan.base, [variant.name for variant in plan.variants])
+    found = paired.differences(totals, plan.base, names)
     if not found:
         return
     table = Table(
--- a/granitepoint/experiments/page.py
+++ b/granitepoint/experiments/page.py
@@ -48,19 +48,6 @@
     return f"{key[0]}, seed {key[2]}: worth served {total.worth_served:.3f}"
 
 
-def _means(
-    totals: dict[Key, Total], plan: Experiment, days: Sequence[str]
-) -> list[tuple[str, str, int, list[float]]]:
-    rows = []
-    for day in days:
-        for variant in plan.variants:
-            mine = [total for key, total in totals.items() if key[:2] == (variant.name, day)]
-            if mine:
-                values = [sum(map(read, mine)) / len(mine) for _, read in paired.FIGURES.values()]
-                rows.append((day, variant.name, len(mine), values))
-    return rows
-
-
 def write(plan: Experiment, results: Sequence[Result], folder: Path) -> Path:
     """Writes `index.html` and its plots, and returns the page's path. Raises StoreError."""
     played = {(r.variant, r.day, r.seed): r for r in results if not r.fault}
@@ -92,7 +79,7 @@
             interval=f"{paired.INTERVAL:g}",
             tables=[(title, rows) for title, rows in tables if rows],
             figures=list(paired.FIGURES),
-            means=_means(totals, plan, days),
+            means=paired.means(totals, names),
             pairs=pairs,
         )
         path = folder / "index.html"
--- a/granitepoint/experiments/paired.py
+++ b/granitepoint/experiments/paired.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import defaultdict
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from dataclasses import dataclass
 
 import numpy as np
@@ -68,6 +68,20 @@
     return float(low), float(high)
 
 
+def means(
+    totals: Mapping[tuple[str, str, int], Total], variants: Sequence[str]
+) -> list[tuple[str, str, int, list[float]]]:
+    """Each day's variants with the count of their cells and the means of all FIGURES, in that order."""
+    rows = []
+    for day in sorted({key[1] for key in totals}):
+        for variant in variants:
+            mine = [total for key, total in totals.items() if key[:2] == (variant, day)]
+            if mine:
+                figures = [sum(map(read, mine)) / len(mine) for _, read in FIGURES.values()]
+                rows.append((day, variant, len(mine), figures))
+    return rows
+
+
 def differences(
     totals: dict[tuple[str, str, int], Total], base: str, variants: Sequence[str], day: str | None = None
 ) -> list[Difference]:
--- a/tests/test_command_line.py
+++ b/tests/test_command_line.py
@@ -97,6 +97,13 @@
     said = json.loads(capsys.readouterr().out)
     assert said["in_force"][0] == {"path": "name", "value": "other", "unit": "", "source": "EDGE_NAME"}
     assert {"kind": "unknown", "path": "settings.colour", "message": "no such setting"} in said["findings"]
+    monkeypatch.setenv("EDGE_LOG_FORMAT", "json")
+    monkeypatch.setenv("EDGE_LOG_LEVEL", "loud")
+    assert main(["check", "--json"]) == 2
+    told = capsys.readouterr()
+    rows = {row["path"]: (row["value"], row["source"]) for row in json.loads(told.out)["in_force"]}
+    assert rows["EDGE_LOG_FORMAT"] == ("json", "EDGE_LOG_FORMAT") and "EDGE_LOG_LEVEL" not in rows
+    assert "out of range: EDGE_LOG_LEVEL: EDGE_LOG_LEVEL is debug, info, warning or error" in told.err
 
 
 def test_output_that_finds_no_room_or_no_reader_is_no_traceback() -> None:
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -205,6 +205,14 @@
     assert rows["worth served"].verdict == "too few seeds"
 
 
+def test_means_are_of_each_day_and_variant() -> None:
+    worth = {("b", "d", 1): 0.5, ("b", "d", 2): 0.7, ("a", "d", 1): 0.9, ("a", "c", 1): 1.0}
+    rows = paired.means({key: total(value) for key, value in worth.items()}, ["a", "b"])
+    assert [row[:3] for row in rows] == [("c", "a", 1), ("d", "a", 1), ("d", "b", 2)]
+    served = [row[3][list(paired.FIGURES).index("worth served")] for row in rows]
+    assert served == pytest.approx([100.0, 90.0, 60.0])
+
+
 def test_the_good_and_the_bad_one_of_a_day() -> None:
     worth = {"a1": 0.9, "b1": 0.8, "a2": 0.5, "b2": 0.7, "b3": 0.0}
     totals = {(key[0], "d", int(key[1])): total(value) for key, value in worth.items()}
