--- a/granitepoint/cli/schema.py
+++ b/granitepoint/cli/schema.py
@@ -206,7 +206,9 @@
     stage: Annotated[
         int, _meta("this tier's place in `stages`, from 0", reads="stage", ge=0, le=MOST_COUNT)
     ] = 0
-    stages: Annotated[list[str], _meta("the tiers", reads="stages", unused="`stage` alone counts")] = []
+    stages: Annotated[
+        list[str], _meta("the tiers, which share the budget of calls done anew", reads="stages")
+    ] = []
     weights: Annotated[
         Literal["off", "nominal", "rough", "live"],
         _meta("what a listed weight means", reads="weights", unused="weights are used as listed"),
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -249,6 +249,6 @@
 
 
 def test_the_example_of_the_readme_is_an_experiment() -> None:
-    path = ROOT / "experiments" / "release-load.toml"
+    path = ROOT / "experiments" / "compare" / "release-load.toml"
     assert {cell.day for cell in plan.cells(plan.load(path), path.parent)} == {"roll"}
     assert days.load(ROOT / "experiments" / "days" / "roll.toml").name == "roll"
--- a/tests/test_fleet_files.py
+++ b/tests/test_fleet_files.py
@@ -9,6 +9,7 @@
 import pytest
 
 from granitepoint.emulator import day as emulator_days
+from granitepoint.experiments import plan
 from granitepoint.fleet import results, slopes
 from granitepoint.fleet.__main__ import app
 from granitepoint.fleet.experiment import Experiment, ExperimentError, check, load, parse
@@ -23,9 +24,13 @@
 
 @pytest.mark.parametrize("path", sorted((ROOT / "experiments").rglob("*.toml")), ids=lambda path: path.stem)
 def test_every_committed_experiment_is_read(path: Path) -> None:
-    """Those in days/ are the emulator's."""
-    read = emulator_days.load(path) if path.parent.name == "days" else load(path)
-    assert read.name == path.stem
+    """Those in days/ are the emulator's, those in compare/ cross variants with these."""
+    if path.parent.name == "compare":
+        compared = plan.load(path)
+        assert compared.name == path.stem and plan.cells(compared, path.parent)
+    else:
+        read = emulator_days.load(path) if path.parent.name == "days" else load(path)
+        assert read.name == path.stem
 
 
 @pytest.mark.parametrize(
