--- a/granitepoint/emulator/calls.py
+++ b/granitepoint/emulator/calls.py
@@ -51,7 +51,8 @@
     """One call to an instance, from a client or from a server of the tier above."""
 
     __slots__ = (
-        "asker", "attempts", "deadline", "ended", "event", "id", "instance", "origin", "out", "request", "work",
+        "asker", "attempts", "deadline", "ended", "event", "id", "instance", "origin", "out", "request",
+        "work",
     )  # fmt: skip
 
     def __init__(self, id: int, request: Request, asker: Asker, budget: float, work: float) -> None:
@@ -85,8 +86,25 @@
     """One execution, or a try at one, of a call at a server."""
 
     __slots__ = (
-        "call", "calls_left", "deadline", "finish", "inner", "instance", "kids", "life", "number", "overhead",
-        "reply", "rested", "rest_work", "sent_at", "server", "state", "status", "used", "work",
+        "call",
+        "calls_left",
+        "deadline",
+        "finish",
+        "inner",
+        "instance",
+        "kids",
+        "life",
+        "number",
+        "overhead",
+        "reply",
+        "rest_work",
+        "rested",
+        "sent_at",
+        "server",
+        "state",
+        "status",
+        "used",
+        "work",
     )  # fmt: skip
 
     def __init__(
--- a/granitepoint/emulator/clients.py
+++ b/granitepoint/emulator/clients.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 from typing import TYPE_CHECKING
 
 from granitepoint.emulator.calls import Attempt, Call, End, Request, draw
-from granitepoint.emulator.day import Class
+from granitepoint.emulator.day import Burst, Class
 from granitepoint.emulator.instance import Instance
 
 if TYPE_CHECKING:
@@ -26,10 +27,10 @@
         self.delay = self.day.network.client_ms / 1e3
         self.base = self.day.rate()
         factors = [factor for _, factor in self.day.traffic.shape] or [1 + self.day.traffic.swing]
-        self.burst = 1.0
+        self.burst: float = 1.0
         self.heavy: dict[tuple[str, int], tuple[float, float]] = {}  # by class and tier: share, times
-        bursts = [t.times for t in self.day.troubles if t.__struct_config__.tag == "burst"]
-        self.most = self.base * max(factors) * max([1.0, *(times for times in bursts if isinstance(times, float))])
+        bursts = [trouble.times for trouble in self.day.troubles if isinstance(trouble, Burst)]
+        self.most = self.base * max(factors) * max([1.0, *bursts])
         self.shares = [cls.share for cls in self.day.classes]
         self.traffic = [tenant.traffic for tenant in self.day.tenants]
         self.quotas = {t.name: t.quota * self.day.capacity() for t in self.day.tenants}
@@ -101,7 +102,8 @@
 
     def _within_quota(self, tenant: str, now: float) -> bool:
         quota = self.quotas[tenant]
-        credit = min(max(1.0, quota * QUOTA_BURST), self.credit[tenant] + (now - self.credit_at[tenant]) * quota)
+        credit = self.credit[tenant] + (now - self.credit_at[tenant]) * quota
+        credit = min(max(1.0, quota * QUOTA_BURST), credit)
         self.credit_at[tenant] = now
         within = credit >= 1
         self.credit[tenant] = credit - within
@@ -161,7 +163,7 @@
         habits = self.habits
         free = end in (End.REFUSED, End.LOST) or self._may_repeat(request, heard)
         if request.tries > habits.retries or not free:
-            return float("inf")
+            return math.inf
         wait = 0.0 if habits.backoff == "none" else habits.backoff_ms / 1e3
         if habits.backoff == "exp":
             wait *= 2 ** (request.tries - 1)
--- a/granitepoint/emulator/command.py
+++ b/granitepoint/emulator/command.py
@@ -24,8 +24,10 @@
     json: Annotated[Path | None, cyclopts.Parameter(help="file of the results, a record a line")] = None,
     seed: Annotated[int | None, cyclopts.Parameter(help="in place of the day's own")] = None,
 ) -> int:
-    """Run one day in simulated time: a TOML file, or a day that the simulator drew (.json). The results go to standard output, how long it took to standard error.
-    Returns the exit code."""
+    """Run one day in simulated time: a TOML file, or a day that the simulator drew (.json).
+
+    The results go to standard output, how long it took to standard error. Returns the exit code.
+    """
     try:
         read = drawn.load(day) if day.suffix == ".json" else load(day)
     except ExperimentError as fault:
--- a/granitepoint/emulator/drawn.py
+++ b/granitepoint/emulator/drawn.py
@@ -1,4 +1,4 @@
-"""Reads a day that the simulator has drawn (`lbsim draw`) as a day of the emulator, as far as both know it."""
+"""Reads a day that the simulator drew (`lbsim draw`) as a day of the emulator, as far as both know it."""
 
 from __future__ import annotations
 
@@ -12,7 +12,9 @@
 from granitepoint.fleet.experiment import ExperimentError
 
 EFFECTS = {"safe": "repeatable", "keyed": "by_key", "unsafe": "once"}
-CHOKE = {"at": "at", "over": "over_s", "slower": "slower", "rest": "rest_s", "below": "below", "most": "most_s"}
+CHOKE = {
+    "at": "at", "over": "over_s", "slower": "slower", "rest": "rest_s", "below": "below", "most": "most_s",
+}  # fmt: skip
 
 
 def load(path: Path) -> Day:
@@ -183,7 +185,8 @@
             each |= {"kind": kind, "tier": tier, "servers": len(trouble["on"]), "share": trouble["size"]}
         elif kind == "heavy_tail":
             cls = fields["classes"][trouble["which"]]["name"]
-            each |= {"kind": kind, "tier": tier, "cls": cls, "share": trouble["extra"], "times": trouble["size"]}
+            each |= {"kind": kind, "tier": tier, "cls": cls}
+            each |= {"share": trouble["extra"], "times": trouble["size"]}
         elif kind == "discovery_stale":
             each |= {"kind": "stale_discovery", "behind_s": trouble["size"]}
         else:
--- a/granitepoint/emulator/instance.py
+++ b/granitepoint/emulator/instance.py
@@ -33,18 +33,19 @@
 
     def __init__(self, world: World, stage: int, zone: str, me: int, balancers: int, seed: int) -> None:
         self.world, self.loop, self.tally, self.day = world, world.loop, world.tally, world.day
-        self.stage, self.zone, self.seed = stage, zone, seed
+        self.zone: str = zone
+        self.seed = seed
         self.settings = copy.copy(world.settings(stage, zone, balancers))
         self.settings.me = me
         self.count = world.tally.depths[stage]
         self.registry = world.registries[stage]
-        self.number = world.next_instance()
+        self.number: int = world.next_instance()
         self.quantum = self.day.tick_ms / 1e3
         self.idle_for = self.day.limits.conn_idle_s
         self.connect_timeout = self.day.limits.connect_timeout_ms / 1e3
         self.max_attempts = self.day.limits.max_attempts
-        self.alive = False
-        self.life = 0
+        self.alive: bool = False
+        self.life: int = 0
         self._empty()
 
     def _empty(self) -> None:
@@ -116,7 +117,7 @@
         self.post(api.ServerList(kind, entries, version))
 
     def knows_start(self, server: Server) -> bool:
-        return self.told.get(server.id, 0.0) >= server.started_at
+        return self.told.get(server.id, -1.0) >= server.started_at
 
     def _batch(self, which: tuple[int, int]) -> None:
         if which == (self.life, self.due):
@@ -409,7 +410,8 @@
             status, back = api.Status.TIMEOUT, sent_at + server.tier.probe_timeout_ms / 1e3
         elif server.up:
             status, report = server.probed()
-        self.loop.at(back, self._probe_back, (life, api.Probed(server.id, int(status), back - sent_at, report)))
+        event = api.Probed(server.id, int(status), back - sent_at, report)
+        self.loop.at(back, self._probe_back, (life, event))
 
     def _probe_back(self, about: tuple[int, api.Probed]) -> None:
         if about[0] == self.life:
--- a/granitepoint/emulator/server.py
+++ b/granitepoint/emulator/server.py
@@ -32,23 +32,35 @@
     """
 
     def __init__(
-        self, world: World, depth: int, tier: Tier, id: int, zone: str, cell: int, speed: float, random: Random
+        self,
+        world: World,
+        depth: int,
+        tier: Tier,
+        id: int,
+        zone: str,
+        cell: int,
+        speed: float,
+        random: Random,
     ) -> None:
         self.world, self.loop, self.tally = world, world.loop, world.tally
-        self.depth, self.tier, self.id, self.zone, self.cell = depth, tier, id, zone, cell
+        self.depth: int = depth
+        self.zone: str = zone
+        self.id: int = id
+        self.tier, self.cell = tier, cell
         self.count = world.tally.depths[depth]
         self.random = random
         self.speed, self.cores = speed, tier.cores
         self.next_calls = world.tiers[depth + 1].calls if depth + 1 < len(world.tiers) else 0.0
         self.instance: Instance | None = None  # for its calls to the next tier
-        self.life = 0  # which process
-        self.up = True
+        self.life: int = 0  # which process
+        self.up: bool = True
         self.draining = self.silent = self.hung = False
         self.closing_at = math.inf  # from then on it turns new requests away
         self.fail_share = 0.0
         self.report_phase = random.random() * tier.report_period_ms / 1e3
         self.probe_room, self.probed_at = tier.probes_per_s * tier.cores, 0.0
-        self.started_at, self.warm_at = 0.0, -math.inf
+        self.started_at: float = 0.0
+        self.warm_at = -math.inf
         self._empty()
 
     def _empty(self) -> None:
@@ -61,7 +73,7 @@
         self.progress = self.scale = 0.0
         self.mark = self.loop.now
         self.alarm = math.inf
-        self.pressure: deque[tuple[float, float, bool]] = deque()  # work sent while cold: when, how much, told
+        self.pressure: deque[tuple[float, float, bool]] = deque()  # sent while cold: when, work, told
         self.pressed = 0.0
         self.crowded_at = math.inf
         self.choked_at = math.inf  # since when
@@ -181,7 +193,8 @@
         now = self.loop.now
         if now < self.warm_at and self._pushed_over(attempt, work):
             return
-        if now >= self.closing_at or (self.slots_used >= self.tier.slots and len(self.waiting) >= self.tier.room):
+        full = self.slots_used >= self.tier.slots and len(self.waiting) >= self.tier.room
+        if full or now >= self.closing_at:
             self.reply(attempt, Status.FULL)
             return
         if self.fail_share and self.random.random() < self.fail_share:
@@ -189,7 +202,7 @@
             self.loop.at(now + FAST_ERROR, self._fail_fast, attempt)
             return
         calls = self.next_calls
-        attempt.calls_left = int(calls) + (self.random.random() < calls - int(calls)) if calls else 0
+        attempt.calls_left = int(calls) + (self.random.random() < calls % 1.0) if calls else 0
         first = work * FIRST_PART if attempt.calls_left else work
         attempt.work, attempt.rest_work = first + attempt.overhead, work - first
         self.advance()
--- a/granitepoint/emulator/tally.py
+++ b/granitepoint/emulator/tally.py
@@ -15,6 +15,17 @@
 
 ENDS = ("in_time", "late", "refused", "failed", "timed_out", "left")
 WINDOW = 5.0  # s
+WINDOW_TITLES = (
+    "  from offered in-time%  late% refused%  fail%  t/o%  left%    p50 ms    p99 ms tries/r  att/r worth%"
+)
+DEPTH_TITLES = (
+    "  depth tier               calls  served refused  failed attempts  full errors   t/o  conn reset"
+    "   work done  served%"
+)
+
+
+def _no_ends() -> dict[str, int]:
+    return dict.fromkeys(ENDS, 0)
 
 
 class Depth(Record, kw_only=True, tag="depth"):
@@ -44,12 +55,12 @@
 
     from_s: float
     offered: int = 0
-    ends: dict[str, int] = msgspec.field(default_factory=lambda: dict.fromkeys(ENDS, 0))
+    ends: dict[str, int] = msgspec.field(default_factory=_no_ends)
     tries: int = 0
     attempts: int = 0  # over all tiers
     worth_offered: float = 0.0
     worth_served: float = 0.0
-    latency: dict[str, float] = {}
+    latency: dict[str, float] = msgspec.field(default_factory=dict)
 
 
 class Group(Record, kw_only=True, tag="group"):
@@ -58,10 +69,10 @@
     kind: str
     name: str
     offered: int = 0
-    ends: dict[str, int] = msgspec.field(default_factory=lambda: dict.fromkeys(ENDS, 0))
+    ends: dict[str, int] = msgspec.field(default_factory=_no_ends)
     worth_offered: float = 0.0
     worth_served: float = 0.0
-    latency: dict[str, float] = {}
+    latency: dict[str, float] = msgspec.field(default_factory=dict)
 
 
 class Seen(Record, kw_only=True, tag="event"):
@@ -235,30 +246,40 @@
             )
         elif isinstance(record, Seen):
             lines.append(f"{record.at_s:9.2f} s  {record.what}")
-    lines.append("  from offered in-time%  late% refused%  fail%  t/o%  left%    p50 ms    p99 ms tries/r  att/r worth%")
+    lines.append(WINDOW_TITLES)
     for record in records:
         if isinstance(record, Window):
             lines.append(_window_line(record))
     for record in records:
         if isinstance(record, Group):
-            shown = f"{record.kind} {record.name}"
-            latency = record.latency
-            tail = f"  p50 {latency['p50_ms']:.1f}  p99 {latency['p99_ms']:.1f}  p99.9 {latency['p99.9_ms']:.1f} ms" if latency else ""
-            lines.append(f"{shown:32} {record.offered:8} worth served {_served([record]):.4f}{tail}")
-    lines.append("  depth tier               calls  served refused  failed attempts  full errors   t/o  conn reset   work done  served%")
+            lines.append(_group_line(record))
+    lines.append(DEPTH_TITLES)
     for record in records:
         if isinstance(record, Depth):
-            share = 100 * record.work_served / record.work_done if record.work_done else 0.0
-            lines.append(
-                f"  {record.depth:5} {record.name:16} {record.calls:7} {record.served:7} {record.refused:7} "
-                f"{record.failed:7} {record.attempts:8} {record.full:5} {record.errors:6} {record.timeouts:5} "
-                f"{record.connect_failed:5} {record.resets:5} {record.work_done:11.2f} {share:8.1f}"
-            )
+            lines.append(_depth_line(record))
         elif isinstance(record, Total):
             lines += _total_lines(record)
     return "\n".join(lines) + "\n"
 
 
+def _depth_line(depth: Depth) -> str:
+    share = 100 * depth.work_served / depth.work_done if depth.work_done else 0.0
+    return (
+        f"  {depth.depth:5} {depth.name:16} {depth.calls:7} {depth.served:7} {depth.refused:7} "
+        f"{depth.failed:7} {depth.attempts:8} {depth.full:5} {depth.errors:6} {depth.timeouts:5} "
+        f"{depth.connect_failed:5} {depth.resets:5} {depth.work_done:11.2f} {share:8.1f}"
+    )
+
+
+def _group_line(group: Group) -> str:
+    line = f"{group.kind} {group.name:24} {group.offered:8} worth served {_served([group]):.4f}"
+    figures = group.latency
+    if not figures:
+        return line
+    shown = "  ".join(f"{name} {figures[f'{name}_ms']:.1f}" for name in ("p50", "p99", "p99.9"))
+    return f"{line}  {shown} ms"
+
+
 def _window_line(window: Window) -> str:
     count = max(1, window.offered)
     ends = window.ends
@@ -267,8 +288,8 @@
     worth = 100 * _served([window])
     return (
         f"{window.from_s:6.0f} {window.offered:7} {shares[0]:8.1f} {shares[1]:6.1f} {shares[2]:8.1f} "
-        f"{shares[3]:6.1f} {shares[4]:5.1f} {shares[5]:6.1f} {latency['p50_ms']:9.1f} {latency['p99_ms']:9.1f} "
-        f"{window.tries / count:7.2f} {window.attempts / count:6.2f} {worth:6.1f}"
+        f"{shares[3]:6.1f} {shares[4]:5.1f} {shares[5]:6.1f} {latency['p50_ms']:9.1f} "
+        f"{latency['p99_ms']:9.1f} {window.tries / count:7.2f} {window.attempts / count:6.2f} {worth:6.1f}"
     )
 
 
