Log how long each call to discovery waited, what lists say and what probes get

list_taken and discovery_failed now hold the wait and the version held before; server_listed and probe_ended (debug) tell of each server.

Servers that are about to drain answer 503 to probes from 2 s before the list says so, and go on serving requests until 2 s after it.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -276,20 +276,29 @@
 
     async def _ask(self, channel: _Channel, target: str, timeout: float) -> bool:
         """Whatever goes wrong ends this call only: a watch that ended untold would never be renewed."""
-        lists = self.lists
+        lists, held = self.lists, self.version
+        begun = asyncio.get_running_loop().time()
         try:
             code, body = await channel.get(self.at, target, timeout)
             if code != 200:
                 raise ValueError(f"status {code}")
             listing = read_listing(json.loads(body))
+            waited = asyncio.get_running_loop().time() - begun
             if lists != self.lists and self.version is not None and listing.version < self.version:
-                log.info("list_dropped", version=listing.version, held=self.version)
+                log.info("list_dropped", version=listing.version, held=self.version, waited_s=waited)
                 return True
             self.on_list(listing)
         except Exception as fault:
             told = str(fault) or type(fault).__name__
-            log.warning("discovery_failed", discovery="{}:{}".format(*self.at), fault=told)
+            waited = asyncio.get_running_loop().time() - begun
+            log.warning(
+                "discovery_failed", discovery="{}:{}".format(*self.at), fault=told, waited_s=waited, held=held
+            )
             return False
+        log.info(
+            "list_taken", version=listing.version, held=held, whole=listing.whole,
+            entries=len(listing.backends), answered_bytes=len(body), waited_s=waited,
+        )  # fmt: skip
         self.lists += 1
         self.version = listing.version
         return True
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -216,6 +216,12 @@
         return api.ServerList(kind, [listed.entry for listed in listing.backends], listing.version)
 
     def _on_list(self, listing: Listing) -> None:
+        if self.tracing:
+            for listed in listing.backends:
+                log.debug(
+                    "server_listed", backend="{}:{}".format(*listed.address), state=listed.entry.state.value,
+                    version=listing.version,
+                )  # fmt: skip
         self.upstreams.apply(listing)
         kind = api.ListKind.FULL if listing.whole else api.ListKind.INCREMENTAL
         self._push(self._server_list(listing, kind))
@@ -409,6 +415,11 @@
             status = exchange.status
             assert status is not None
             self.counts[f"probe {status.name.lower()}"] += 1
+            if self.tracing:
+                log.debug(
+                    "probe_ended", backend="{}:{}".format(*upstream.address), status=status.name.lower(),
+                    code=exchange.code, after_s=exchange.elapsed,
+                )  # fmt: skip
             report = read_report(exchange.body) if status is api.Status.OK else None
             if status is api.Status.MOOT:
                 status = api.Status.FULL  # not asked, so nothing is known against it
