Failing tests: requests to drained servers while discovery answers nobody

On real processes over loopback (test_unconfirmed_list.py): discovery fails every call from just before a server drains. The server goes on serving and answers 503 to its health check. It still gets requests 7.3 s after the drain, where they had to end after 6.3 s. In simulated time (test_discovery_overload.py): 40 instances ask a discovery that needs 7.5 s for all of them, after it was away for 8 s. A call that waits for 2 s fails and costs its turn all the same. Some instances have no answer 30 s after the return.

Ruled out: the time that a list takes to be read and applied. The proxies at fault read no list at all before the breaks, and their tier has 65 servers. tests/conftest.py lets a run pass over listed tests alone, names them, and fails if one of them passes.

--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,32 @@
+"""Known failures: the tests that KNOWN-RED.txt lists have to fail; each is named at the end of a run."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+from _pytest.terminal import TerminalReporter
+
+KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
+
+
+def known_failures() -> dict[str, str]:
+    """The cause of each listed test, by its node id; a line is `test, cause, issue`."""
+    if not KNOWN_RED.exists():
+        return {}
+    lines = [line.strip() for line in KNOWN_RED.read_text(encoding="utf-8").splitlines() if line.strip()]
+    return {test.strip(): cause.strip() for test, _, cause in (line.partition(",") for line in lines)}
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    listed = known_failures()
+    for item in items:
+        cause = listed.get(item.nodeid)
+        if cause is not None:
+            # One that passes by now has to come off the list, so that also fails the run.
+            item.add_marker(pytest.mark.xfail(reason=cause, strict=True))
+
+
+def pytest_terminal_summary(terminalreporter: TerminalReporter) -> None:
+    for report in terminalreporter.stats.get("xfailed", []):
+        terminalreporter.write_line(f"known failure: {report.nodeid}, {report.wasxfail}")
