Let the pause after a failed call to discovery double, so that it can recover

Cause (2 of 2): the pause after a failed call did not grow (logic.py, on_list: 0.9 to 1.3 s; net/discovery.py: 0.05 to 0.1 s after a call that had waited in turn, TURN_PAUSE, up to 0.8 s for renewals and 0.5 s after a move). Calls that wait in turn for 2 s and fail cost discovery its time all the same. With more proxies than it can answer in 2 s, all of them always waiting, it worked on calls that nobody waited for and answered hardly any, for as long as there were proxies without a list. Larger fleets and longer lists make that likelier.

Change: backoff.py, one rule for the module and for the calls that the network side makes by itself: 1 s, or as long as the call waited in turn, doubled with each failure up to 16 s, up to half of it less by chance. A failed call is left to the module. The first list after a move is asked for once more only after its turn must have come (3.0 to 3.5 s, 1.6 to 1.9 s before, while it still waited). Health checks for them take the place of steady probes.

--- a/granitepoint/cli/explain.py
+++ b/granitepoint/cli/explain.py
@@ -9,7 +9,7 @@
 from msgspec import Struct
 
 from granitepoint import __main__ as program
-from granitepoint import logic
+from granitepoint import backoff, logic
 from granitepoint.interface import Effect, ListKind, RequestClass, ServerList, Settings
 from granitepoint.net import discovery, driver, server, upstream
 from granitepoint.net.config import Config, ConfigError
@@ -142,14 +142,15 @@
     entries = [Entry("address", "{}:{}".format(*config.discovery), "", "may change on SIGHUP")]
     if settings.ask_for_list:
         first = min(2.0, settings.must_ask_within / 4)
-        again = min(logic.ASK_AGAIN, settings.must_ask_within)
+        longest = min(backoff.LONGEST_PAUSE, settings.must_ask_within)
+        doubled = f"after a failed call, at the latest; doubled up to {longest:g} s"
         entries += [
             Entry("first watch", first, SECONDS, "at the latest after the start, at a random time"),
-            Entry("asked again", again, SECONDS, "at the latest after a failed call"),
+            Entry("asked again", min(backoff.FIRST_PAUSE, longest), SECONDS, doubled),
             Entry("doubted", logic.DOUBT_SPACING, SECONDS, "without news, while a listed server refuses"),
         ]
     else:
-        entries.append(Entry("asked again", discovery.PUSH_PAUSE[1], SECONDS, "after a watch that ended"))
+        entries.append(Entry("asked again", discovery.PUSH_PAUSE, SECONDS, "after a watch that ended"))
     entries += [
         Entry("held", discovery.HOLD_MS / 1000, SECONDS, "a watch that discovery may hold open"),
         Entry("renewed", discovery.RENEW, SECONDS, "a watch that said nothing, beside the one before"),
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -11,6 +11,7 @@
 from collections import deque
 from random import Random
 
+from granitepoint.backoff import LONGEST_PAUSE, Backoff
 from granitepoint.interface import (
     NEVER_RAN,
     Action,
@@ -72,6 +73,7 @@
 PACE_MEMORY = 30.0  # s in which they fade without new ones, so that a slow server is tried again
 PROBES_PER_CALL = 0.05  # probes per arriving call: each request makes several
 PROBES_LEAST = 0.3  # probes per s, so that an idle instance still knows its servers
+LEASE_DEBT = 5.0  # steady probes that health checks for leases may take the place of at once
 FIRST_PROBES = 8.0  # probes at the start, over all zones: an instance that knows no load follows the herd
 ASK_SPEND = 0.006  # points of price per call that may go to probes sent for that call alone
 ASK = 3  # servers asked for one call; more gains little over three fresh figures
@@ -101,7 +103,6 @@
 FAILING_MEMORY = 5.0  # s in which such a share fades, so that the server is tried again
 COLD_SHARE = 0.5  # share of the allowed multiple of a cold server's capacity that all instances may use
 PEAK_MEMORY = 60.0  # s, memory of an instance's highest send rate for a unit of size: long against a ramp
-ASK_AGAIN = 1.3  # s after a failed call within which discovery is asked again: what it has is told soon
 DOUBT_SPREAD = 2.0  # s over which instances ask again where servers contradict the list: all see it at once
 DOUBT_SPACING = 8.0  # s since it asked or was told within which an instance does not doubt the list
 IDLE_LEAST = 0.2  # s; a connection used within it is not taken to be lost for lack of use
@@ -748,6 +749,8 @@
         self.timer_set = False
         self.watching = not settings.ask_for_list
         self.watch_at = -1.0
+        self.asked_at = 0.0  # the start of the last watch
+        self.backoff = Backoff(self.random, min(LONGEST_PAUSE, settings.must_ask_within))
         self.told_at = 0.0  # the last list, or the start of a watch
         self.doubt_at = math.inf  # when to ask although a watch is on
 
@@ -800,11 +803,11 @@
         if event.kind is ListKind.FAILED:
             self.leases.lose(self.now, math.inf)
             self.watching = False
-            longest = min(ASK_AGAIN, self.settings.must_ask_within)
-            self.watch_at = self.now + longest * (0.7 + 0.3 * self.random.random())
+            self.watch_at = self.now + self.backoff.failed(self.now - self.asked_at)
         else:
             if event.kind is not ListKind.SAVED:
                 self.leases.confirm()
+                self.backoff.succeeded()
                 self.told_at, self.doubt_at = self.now, math.inf
             self.servers.take_list(event, self.now)
             self.admission.set_least(len(self.servers.known), self.settings.balancers)
@@ -1080,7 +1083,8 @@
     def watch(self) -> None:
         if (not self.watching and self.now >= self.watch_at) or self.now >= self.doubt_at:
             self.watching = True
-            self.told_at, self.doubt_at = self.now, math.inf
+            self.asked_at = self.told_at = self.now
+            self.doubt_at = math.inf
             self.actions.append(Watch(True))
 
     def doubt(self) -> None:
@@ -1173,7 +1177,9 @@
             self.actions.append(Cancel(call.id, attempt.number))
 
     def renew_leases(self) -> None:
+        """Paid for by the steady probes that come after, for these bring reports too."""
         for server in self.leases.due(self.servers.pool, self.now, self.busy + len(self.queue)):
+            self.probe_tokens = max(-LEASE_DEBT, self.probe_tokens - 1)
             self.send_probe(server)
 
     def probe(self, span: float) -> None:
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -14,6 +14,7 @@
 
 import httptools
 
+from granitepoint.backoff import JITTER, Backoff
 from granitepoint.interface import ServerEntry, ServerState
 from granitepoint.net.config import Address, address
 from granitepoint.net.logs import Events
@@ -27,16 +28,11 @@
 CONNECT_TIMEOUT = 1.0  # s
 LEAST_SPACING = 0.05  # s between two watches, should discovery answer each at once
 LARGEST = 8 << 20  # bytes of an answer
-PUSH_PAUSE = (0.1, 0.15)  # s between tries to open a watch on pushed lists, which count as told at once
-RENEW_PAUSE = (0.3, 0.8)  # s between tries to renew a watch, while the one before still waits
-MOVE_PAUSE = (0.2, 0.5)  # s between tries for the first list of a new address
+PUSH_PAUSE = 0.15  # s between tries to open a watch on pushed lists, which count as told at once
 MOVE_TOLD = 4.0  # s after a move from which all that the new address has counts as told
-MOVE_AGAIN = 1.9  # s after which the first list is asked for once more, beside the call that is out
-TURN = (0.9, 3.0)  # s after which a call fails that waited in turn, or for a connection: time enough has gone
-TURN_PAUSE = (0.1, 0.1)  # s from there to the next call
+MOVE_AGAIN = 3.5  # s after which the first list is asked for once more: the call is silent, not in turn
 MOVE_TRIES = 15  # such tries, before the module is told that the call failed
-JITTER = 0.5  # share by which a pause may be shorter: all that lost one discovery would ask in step
-EARLIER = 0.15  # the same of RENEW and MOVE_AGAIN
+EARLIER = 0.15  # share by which RENEW and MOVE_AGAIN may be shorter, so that none ask in step
 
 STATES = {"Ready": ServerState.SERVING, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
 # Wall less monotonic time, taken once: the same since_ms must give the same figure in every list, or a step
@@ -233,7 +229,8 @@
         missed counts as told. The one before stays until it ends, for it may be the one that is told."""
         loop = asyncio.get_running_loop()
         asks = self._asks
-        channel, tries, failures = _Channel(), 0, 0
+        channel, tries = _Channel(), 0
+        backoff = Backoff(self.random)
         try:
             while True:
                 begun, first = loop.time(), self.version is None
@@ -252,16 +249,13 @@
                     channel = _Channel()
                     continue
                 del asks[newest]
-                waited = TURN[0] <= loop.time() - begun <= TURN[1]
-                failures = 0 if newest.result() else failures + 1
-                if not failures:
+                if newest.result():
+                    backoff.succeeded()
                     await asyncio.sleep(max(0.0, begun + LEAST_SPACING - loop.time()))
                 elif self.pushed:
-                    await self._pause(PUSH_PAUSE, failures)
-                elif waited:
-                    await self._pause(TURN_PAUSE, failures)
+                    await asyncio.sleep(self._sooner(PUSH_PAUSE, JITTER))
                 elif asks or (first and tries < MOVE_TRIES):
-                    await self._pause(MOVE_PAUSE if first else RENEW_PAUSE, failures)
+                    await asyncio.sleep(backoff.failed(loop.time() - begun))
                 else:
                     self._watch = None  # over, for whom it tells
                     self.on_failed()
@@ -273,11 +267,6 @@
     def _sooner(self, most: float, share: float) -> float:
         return most * (1 - share * self.random.random())
 
-    async def _pause(self, pause: tuple[float, float], failures: int) -> None:
-        """Twice as long (at most) after each failure in a row, from the first figure up to the second."""
-        first, longest = pause
-        await asyncio.sleep(self._sooner(min(longest, first * 2.0 ** min(failures - 1, 8)), JITTER))
-
     async def _fetching(self) -> None:
         channel = _Channel()
         try:
