Ask a silent watch anew before what it misses counts as told at once

Cause: the first watch after a failed call, held for 4 s since, was waited for 15 to 18 s like one held for 25 s (net/discovery.py, _watching: RENEW for both). What a silent watch misses counts as told 6 s after it fell silent or 2 s after its hold, whichever is later: for 25 s that is 27 s, for 4 s it is 6. From then on every change counts at once, and a lease of 5.5 s is no bound (leases.py).

Change: that watch is held for 0.5 s and asked anew beside the open one after 2.7 to 3.2 s, longer than it can wait in turn and be held. A watch that falls silent is lost for the module from that moment, with the time until all that it misses counts; from then on a health check is good for 1 s. A call that ends after a later one was answered loses nothing.

--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -215,9 +215,9 @@
 
 @dataclass(slots=True)
 class WatchLost:
-    """A call to discovery failed, or its watch has ended: until the next list, changes may go untold."""
+    """The watch of discovery failed, fell silent or moved: until the next list, changes may go untold."""
 
-    told_within: float = math.inf  # s in which all that it has counts as told, whether or not it arrives
+    told_within: float = math.inf  # s from now after which they count as told at once, untold or not
 
 
 @dataclass(slots=True)
--- a/granitepoint/leases.py
+++ b/granitepoint/leases.py
@@ -17,7 +17,8 @@
 from granitepoint.interface import ServerState
 
 LEASE = 5.5  # s; an untold change counts as told 6 s after it was made
-CUT_BEFORE = 0.1  # s before all that discovery has counts as told at which every lease so far ends
+TOLD_LEASE = 1.0  # s; the same from the moment on from which changes count as told at once
+CUT_BEFORE = 0.1  # s before that moment at which every lease so far ends
 RENEW_AFTER = 4.5  # s of a lease after which the next health check is due
 CHECK_SPACING = 0.5  # s until a server that did not pass its health check is checked again
 LEAST_LEASED = 2  # servers for one call: the first that is checked may be the one that drains
@@ -53,8 +54,8 @@
         self.unconfirmed_since = self.cut_at = math.inf
 
     def lose(self, now: float, told_within: float) -> None:
-        """From now on changes may go untold, until the next list. `told_within`: s from now in which all of
-        them count as told nevertheless; infinite where each counts from when it was made."""
+        """From now on changes may go untold, until the next list. `told_within`: s from now after which they
+        count as told at once nevertheless; infinite where each does so a while after it was made."""
         self.unconfirmed_since = min(self.unconfirmed_since, now)
         self.cut_at = min(self.cut_at, now + told_within - CUT_BEFORE)
 
@@ -71,7 +72,9 @@
         return not self.needed(now) or self._checked(server, now)
 
     def _checked(self, server: Leased, now: float) -> bool:
-        return now - server.checked_at <= LEASE and (now < self.cut_at or server.checked_at >= self.cut_at)
+        if now < self.cut_at:
+            return now - server.checked_at <= LEASE
+        return now - server.checked_at <= TOLD_LEASE and server.checked_at >= self.cut_at
 
     def due(self, pool: Sequence[Checked], now: float, calls: int) -> list[Checked]:
         """The servers to check now, so that there are as many leases as calls in hand: those in use are
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -23,7 +23,10 @@
 
 RENEW = 18.0  # s after which a watch that has said nothing is asked anew: it may have fallen silent
 HOLD_MS = 25_000  # how long a watch may wait; what a silent one misses counts as told 2 s after that
-CONFIRM_HOLD_MS = 4_000  # the same until a first answer confirms the list, which no change may come to do
+CONFIRM_HOLD_MS = 500  # the same until an answer confirms the list, which no change may come to do
+CONFIRM_WAIT = 3.2  # s after which such a call is silent: in turn and held it takes 2.5 s at most
+SILENT_TOLD = 6.0  # s after a watch fell silent from which all that it misses counts as told at once,
+HOLD_TOLD = 2.0  # or s after the end of its hold, if that is later
 PATIENCE = 4.0  # s beyond a call's own wait after which it has failed: calls wait in turn
 CONNECT_TIMEOUT = 1.0  # s
 LEAST_SPACING = 0.05  # s between two watches, should discovery answer each at once
@@ -173,8 +176,8 @@
         self.at, self.random, self.pushed = at, random, pushed
         self.version: int | None = version  # None: nothing is known of this server's versions yet
         self.on_list, self.on_failed = on_list, on_failed
-        self.on_lost = on_lost  # of each failed call, with the s after which what it has counts as told
-        self.confirmed = False  # a list has come since the last failed call
+        self.on_lost = on_lost  # the watch failed or fell silent; with the s until all counts as told
+        self.confirmed = False  # a list has come since then
         self.lists = 0  # taken so far
         self._watch: asyncio.Task[None] | None = None
         self._asks: dict[asyncio.Task[bool], _Channel] = {}  # of the watch, the one before still among them
@@ -234,25 +237,25 @@
         try:
             while True:
                 begun, first = loop.time(), self.version is None
-                if first:
-                    newest = loop.create_task(self._ask(channel, "/v1/servers", PATIENCE))
-                else:
-                    hold_ms = HOLD_MS if self.confirmed else CONFIRM_HOLD_MS
-                    target = f"/v1/servers?from={self.version}&hold_ms={hold_ms}"
-                    newest = loop.create_task(self._ask(channel, target, hold_ms / 1000 + PATIENCE))
+                hold = (HOLD_MS if self.confirmed else CONFIRM_HOLD_MS) / 1000
+                silent_after = MOVE_AGAIN if first else RENEW if self.confirmed else CONFIRM_WAIT
+                newest = loop.create_task(self._ask(channel, self._target(hold), hold + PATIENCE))
                 asks[newest] = channel
-                await asyncio.wait([newest], timeout=self._sooner(MOVE_AGAIN if first else RENEW, EARLIER))
+                await asyncio.wait([newest], timeout=self._sooner(silent_after, EARLIER))
                 for ask in [ask for ask in asks if ask.done() and ask is not newest]:
                     asks.pop(ask).close()
                 tries = tries + 1 if self.version is None else 0
                 if not newest.done():
+                    self._lose(begun + max(SILENT_TOLD, hold + HOLD_TOLD) - loop.time())
                     channel = _Channel()
                     continue
                 del asks[newest]
                 if newest.result():
                     backoff.succeeded()
                     await asyncio.sleep(max(0.0, begun + LEAST_SPACING - loop.time()))
-                elif self.pushed:
+                    continue
+                self._lose()
+                if self.pushed:
                     await asyncio.sleep(self._sooner(PUSH_PAUSE, JITTER))
                 elif asks or (first and tries < MOVE_TRIES):
                     await asyncio.sleep(backoff.failed(loop.time() - begun))
@@ -264,6 +267,11 @@
             if channel not in asks.values():
                 channel.close()
 
+    def _target(self, hold: float) -> str:
+        if self.version is None:
+            return "/v1/servers"
+        return f"/v1/servers?from={self.version}&hold_ms={hold * 1000:.0f}"
+
     def _sooner(self, most: float, share: float) -> float:
         return most * (1 - share * self.random.random())
 
@@ -295,7 +303,6 @@
             log.warning(
                 "discovery_failed", discovery="{}:{}".format(*self.at), fault=told, waited_s=waited, held=held
             )
-            self._lose()
             return False
         log.info(
             "list_taken", version=listing.version, held=held, whole=listing.whole,
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -84,6 +84,12 @@
         return ask
 
 
+def silent_after(monkeypatch: pytest.MonkeyPatch, wait: float) -> None:
+    """How long a watch is waited for before it is asked anew, whether or not the list is confirmed, in s."""
+    monkeypatch.setattr(net, "RENEW", wait)
+    monkeypatch.setattr(net, "CONFIRM_WAIT", wait)
+
+
 def states(told: Listing) -> list[str]:
     return [listed.entry.state.value for listed in told.backends]
 
@@ -96,6 +102,61 @@
     assert net.HOLD_MS <= 60_000
 
 
+def test_a_first_call_that_is_silent_is_asked_anew_in_time_and_none_that_waits_its_turn() -> None:
+    """What a silent one misses counts as told 6 s after it fell silent: its hold is short."""
+    in_turn, hold = 2.0, net.CONFIRM_HOLD_MS / 1000
+    assert in_turn + hold < net.CONFIRM_WAIT * (1 - net.EARLIER)
+    assert net.CONFIRM_WAIT + in_turn + hold < net.SILENT_TOLD == max(net.SILENT_TOLD, hold + net.HOLD_TOLD)
+    assert in_turn + hold < net.HOLD_MS / 1000 + net.HOLD_TOLD - net.RENEW
+
+
+@pytest.mark.parametrize("confirmed", [False, True])
+def test_a_watch_that_falls_silent_is_told_with_the_time_until_all_that_it_misses_counts(
+    confirmed: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Once that has come, no lease is long enough, so it has to be known."""
+
+    async def test() -> None:
+        peer = OnCommand()
+        lost: list[float] = []
+        async with peer.client() as client:
+            client.on_lost = lost.append
+            client.watch(True)
+            ask = await peer.next("/v1/servers?from=1&")
+            if confirmed:
+                ask.answer(1)
+                await peer.next("/v1/servers?from=1&")
+            silent_after(monkeypatch, 0.05)
+            client.watch(True)
+            await peer.next("/v1/servers?from=1&")
+            await peer.next(f"/v1/servers?from=1&hold_ms={net.CONFIRM_HOLD_MS}")
+            told = net.HOLD_MS / 1000 + net.HOLD_TOLD if confirmed else net.SILENT_TOLD
+            assert told - 1.0 < lost[0] < told and not client.confirmed
+
+    run(test())
+
+
+def test_a_call_that_ends_after_a_later_one_was_answered_loses_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    async def test() -> None:
+        peer = OnCommand()
+        async with peer.client() as client:
+            silent_after(monkeypatch, 0.05)
+            client.watch(True)
+            silent = await peer.next("/v1/servers?from=1&")
+            second = await peer.next("/v1/servers?from=1&")
+            silent_after(monkeypatch, PATIENCE)
+            second.answer(2)
+            await peer.next("/v1/servers?from=2&")
+            silent.writer.transport.abort()
+            while any(not ask.done() for ask in list(client._asks)[:1]):
+                await asyncio.sleep(0)
+            assert client.confirmed
+
+    run(test())
+
+
 def test_a_first_list_is_not_asked_for_twice_while_the_call_waits_its_turn() -> None:
     """All proxies move at once, and twice the calls take twice as long."""
     assert net.MOVE_AGAIN * (1 - net.EARLIER) > LONGEST_TURN * 0.9 > 2.0
@@ -103,7 +164,7 @@
 
 def test_a_silent_watch_is_asked_anew_beside_the_open_one(monkeypatch: pytest.MonkeyPatch) -> None:
     """Nothing ends the first call: no answer, no close. The change that it missed comes with the second."""
-    monkeypatch.setattr(net, "RENEW", 0.05)
+    silent_after(monkeypatch, 0.05)
 
     async def test() -> None:
         peer = OnCommand()
@@ -112,7 +173,7 @@
             silent = await peer.next("/v1/servers?from=1&hold_ms=")
             second = await peer.next("/v1/servers?from=1&hold_ms=")
             assert second.connection != silent.connection
-            monkeypatch.setattr(net, "RENEW", PATIENCE)
+            silent_after(monkeypatch, PATIENCE)
             second.answer(2, endpoint("s-1", HERE, "Terminating"))
             assert states(await peer.lists.get()) == ["draining"]
             await peer.next("/v1/servers?from=")
@@ -123,7 +184,7 @@
 
 def test_a_change_told_on_the_watch_that_is_being_renewed_is_taken(monkeypatch: pytest.MonkeyPatch) -> None:
     """What discovery writes counts as told, whichever of the two calls it is written to."""
-    monkeypatch.setattr(net, "RENEW", 0.05)
+    silent_after(monkeypatch, 0.05)
 
     async def test() -> None:
         peer = OnCommand()
@@ -141,7 +202,7 @@
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
     """The module's pause after a failure would be longer than what is left."""
-    monkeypatch.setattr(net, "RENEW", 0.05)
+    silent_after(monkeypatch, 0.05)
     monkeypatch.setattr(backoff, "FIRST_PAUSE", 0.01)
 
     async def test() -> None:
@@ -149,7 +210,7 @@
         async with peer.client() as client:
             client.watch(True)
             first = await peer.next("/v1/servers?from=1&")
-            monkeypatch.setattr(net, "RENEW", PATIENCE)
+            silent_after(monkeypatch, PATIENCE)
             (await peer.next("/v1/servers?from=1&")).fail()
             (await peer.next("/v1/servers?from=1&")).fail()
             (await peer.next("/v1/servers?from=1&")).answer(2)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -8,7 +8,7 @@
 from helpers import Driver, entries, only_send, sends, settings
 
 from granitepoint import Action, Event, ListKind, Probe, Probed, ServerList, Status, WatchLost
-from granitepoint.leases import LEASE, LEAST_LEASED, RENEW_AFTER
+from granitepoint.leases import LEASE, LEAST_LEASED, RENEW_AFTER, TOLD_LEASE
 from granitepoint.net.discovery import MOVE_TOLD
 
 TOLD_AFTER = 6.0  # s after a change from which it counts as told, answered or not
@@ -119,6 +119,18 @@
     assert len(sends(made.arrive(2) + made.wait(0.05))) == checked_after
 
 
+def test_once_changes_count_as_told_at_once_a_health_check_is_good_for_a_moment_only() -> None:
+    made = Checked(1)
+    made.lose(MOVE_TOLD)
+    made.wait(MOVE_TOLD)
+    made.settle(only_send(made.arrive(1)), Status.OK)
+    made.stop_health_checks()
+    made.wait(TOLD_LEASE - 0.1)
+    made.settle(only_send(made.arrive(2)), Status.OK)
+    made.wait(0.2)
+    assert sends(made.arrive(3)) == []
+
+
 def test_where_health_checks_are_not_allowed_the_list_is_trusted_as_it_is() -> None:
     made = Driver(settings(ask_for_list=True))
     made.feed(WatchLost())
