Leases and explain: say what loses a watch, and from what the pause starts

The page of the module named any failed call; since silent watches are asked anew it is the watch that ends, fails or falls silent. explain named the pause after a call that was refused at once only. No behaviour changes.

--- a/granitepoint/cli/explain.py
+++ b/granitepoint/cli/explain.py
@@ -143,7 +143,7 @@
     if settings.ask_for_list:
         first = min(2.0, settings.must_ask_within / 4)
         longest = min(backoff.LONGEST_PAUSE, settings.must_ask_within)
-        doubled = f"after a failed call, at the latest; doubled up to {longest:g} s"
+        doubled = f"after a failed call, or as long as it waited in turn; doubled up to {longest:g} s"
         entries += [
             Entry("first watch", first, SECONDS, "at the latest after the start, at a random time"),
             Entry("asked again", min(backoff.FIRST_PAUSE, longest), SECONDS, doubled),
--- a/granitepoint/leases.py
+++ b/granitepoint/leases.py
@@ -1,11 +1,11 @@
 """Leases on servers: which of them may be sent to while nothing confirms the list of servers.
 
 A list is confirmed for as long as a watch of discovery goes on, since every change is told on it. From
-the moment at which the watch ends, or any call to discovery fails, a server may begin to drain and nobody
-tells. Each server then holds a lease, counted from that moment, and each health check that it passes is a
-new one: a server that drains fails its health checks from before discovery knows of the drain. Without a
-valid lease it gets no attempt. The age of what an attempt relies on is bounded by that, however long
-discovery is away or crowded.
+the moment at which the watch ends, fails or falls silent, a server may begin to drain and nobody tells.
+Each server then holds a lease, counted from that moment, and each health check that it passes is a new
+one: a server that drains fails its health checks from before discovery knows of the drain, though it may
+go on serving. Without a valid lease it gets no attempt. The age of what an attempt relies on is bounded by
+that, however long discovery is away or crowded.
 """
 
 from __future__ import annotations
