A lease on the list: nothing is sent by a list that may have missed what counts as told

Cause: Leases.valid (leases.py) took a passed health check for membership: a server that is gone and serves on passes. Backoff.failed (backoff.py) let pauses grow to 10 s, over the 6 s after which a change counts as told. Ruled out: a list not acted on (none was written before the breaks), a crowd (the first call waited 0.02 s).

Change: membership/list_lease.py bounds the list itself, membership/evidence.py says what each end of a call proves. Proof: a list, a watch that goes on, a refused connection, a held watch that ended. Without a lease requests wait for 0.4 of their time and are refused. Pauses depend on the evidence. A new process is ready once a list came, or after 5 s. Health checks stay as a filter. Pushed lists: the 5.5 s after the loss of a watch are gone.

--- a/granitepoint/__init__.py
+++ b/granitepoint/__init__.py
@@ -6,6 +6,7 @@
     Cancel,
     ClosedAtRest,
     CloseIdle,
+    DiscoveryFailed,
     Effect,
     Event,
     Fail,
@@ -32,6 +33,7 @@
     Timer,
     Watch,
     WatchLost,
+    WatchOpened,
 )
 from granitepoint.logic import Balancer
 
@@ -42,6 +44,7 @@
     "Cancel",
     "CloseIdle",
     "ClosedAtRest",
+    "DiscoveryFailed",
     "Effect",
     "Event",
     "Fail",
@@ -68,4 +71,5 @@
     "Timer",
     "Watch",
     "WatchLost",
+    "WatchOpened",
 ]
--- a/granitepoint/cli/explain.py
+++ b/granitepoint/cli/explain.py
@@ -9,8 +9,9 @@
 from msgspec import Struct
 
 from granitepoint import __main__ as program
-from granitepoint import backoff, logic
+from granitepoint import admission, logic
 from granitepoint.interface import Effect, ListKind, RequestClass, ServerList, Settings
+from granitepoint.membership import backoff, list_lease
 from granitepoint.net import discovery, driver, server, upstream
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import read_listing
@@ -61,7 +62,7 @@
 
 
 def _class(cls: RequestClass, settings: Settings) -> Section:
-    kind = logic.Kind(cls, settings.stage)
+    kind = admission.Kind(cls, settings.stage)
     answered = max(0.0, cls.deadline - driver.LEAST_MARGIN)
     held = max(0.0, answered - driver.MODULE_MARGIN - logic.ANSWER_MARGIN)
     always = cls.effect is Effect.REPEATABLE or (cls.effect is Effect.BY_KEY and cls.group == "all")
@@ -141,12 +142,15 @@
     settings = config.settings
     entries = [Entry("address", "{}:{}".format(*config.discovery), "", "may change on SIGHUP")]
     if settings.ask_for_list:
-        first = min(2.0, settings.must_ask_within / 4)
-        longest = min(backoff.LONGEST_PAUSE, settings.must_ask_within)
-        doubled = f"after a failed call, or as long as it waited in turn; doubled up to {longest:g} s"
+        instances = settings.balancers * settings.stages
+        first = min(logic.FIRST_ASK, logic.FIRST_ASK_EACH * instances, settings.must_ask_within / 4)
+        longest = min(backoff.LONGEST_PAUSE, logic.FAILED_ASK * settings.must_ask_within)
+        growing = f"at most, after a call that waited in vain; growing with each, up to {longest:g} s"
         entries += [
             Entry("first watch", first, SECONDS, "at the latest after the start, at a random time"),
-            Entry("asked again", min(backoff.FIRST_PAUSE, longest), SECONDS, doubled),
+            Entry("asked again", min(backoff.CROWDED.first, longest), SECONDS, growing),
+            Entry("while it is away", backoff.AWAY.longest, SECONDS, "at most, after a refused call"),
+            Entry("list used for", list_lease.TOLD_AFTER, SECONDS, "after the last proof"),
             Entry("doubted", logic.DOUBT_SPACING, SECONDS, "without news, while a listed server refuses"),
         ]
     else:
--- a/granitepoint/faults/discovery.py
+++ b/granitepoint/faults/discovery.py
@@ -246,7 +246,7 @@
         return math.inf
 
     def told_at(self, desk: Desk, change: Change) -> float:
-        """When a change counts as told to the proxy of that desk, answered or not; infinite: not up to now."""
+        """When a change counts as told to that desk's proxy, answered or not; infinite: not up to now."""
         written = [at for at, version in desk.written if version >= change.version]
         told = self.reached_at(change.made_at) + TOLD_AFTER
         for watch, silent_at in desk.silenced.values():
--- a/granitepoint/faults/syscalls.py
+++ b/granitepoint/faults/syscalls.py
@@ -18,8 +18,8 @@
 class Fault:
     """One rule of a plan.
 
-    `call` is accept, socket, connect, read, write, epoll, hold or clock. `fault` is an errno by name, `short`,
-    or the seconds of a hold or of a step of the wall clock. Times are in seconds since the process started;
+    `call` is accept, socket, connect, read, write, epoll, hold or clock. `fault` is an errno by name, short,
+    or the seconds of a hold or of a step of the wall clock. Times are in s since the process started;
     `share` of the calls between them fail.
     """
 
--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
 
+from granitepoint.membership.evidence import Failure
+
 
 class Effect(Enum):
     """What a second execution of a request would do."""
@@ -116,6 +118,7 @@
     quantum: float = 0.0  # events come no more often than this
     ask_for_list: bool = False
     must_ask_within: float = 10.0
+    told_after: float = math.inf  # s after which an untold change of the list counts as told; not on the wire
     max_attempts: int = 1
     may_duplicate: bool = False
     may_cancel: bool = False
@@ -211,6 +214,9 @@
     kind: ListKind
     entries: list[ServerEntry] = field(default_factory=list)
     version: int = 0
+    written_after: float | None = None  # when it was written at the earliest; None: just now
+    ends_watch: bool = True  # it came on the newest call; otherwise a watch is still out
+    failure: Failure | None = None  # of FAILED; None: to be told from the time that the call took
 
 
 @dataclass(slots=True)
@@ -218,6 +224,26 @@
     """The watch of discovery failed, fell silent or moved: until the next list, changes may go untold."""
 
     told_within: float = math.inf  # s from now after which they count as told at once, untold or not
+    moved: bool = False  # discovery has another address from now on
+    silent: bool = False  # another call is made beside the watch
+
+
+@dataclass(slots=True)
+class WatchOpened:
+    """A call is out that discovery holds for up to `hold` s; `begun` is on the clock of the batches."""
+
+    begun: float
+    hold: float
+
+
+@dataclass(slots=True)
+class DiscoveryFailed:
+    """A call to discovery failed. Times are on the clock of the batches."""
+
+    failure: Failure
+    begun: float
+    ended: float
+    beside: bool = False  # an older call is still out
 
 
 @dataclass(slots=True)
@@ -290,6 +316,8 @@
 Event = (
     ServerList
     | WatchLost
+    | WatchOpened
+    | DiscoveryFailed
     | Arrival
     | Outcome
     | StreamStarted
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -8,10 +8,15 @@
 
 import math
 from bisect import insort
-from collections import deque
 from random import Random
 
-from granitepoint.backoff import LONGEST_PAUSE, Backoff
+from granitepoint.admission import (
+    MEMORY,
+    SLACK,
+    Admission,
+    Kind,
+    Mean,
+)
 from granitepoint.interface import (
     NEVER_RAN,
     Action,
@@ -19,6 +24,7 @@
     Cancel,
     ClosedAtRest,
     CloseIdle,
+    DiscoveryFailed,
     Effect,
     Event,
     Fail,
@@ -28,7 +34,6 @@
     Probe,
     Probed,
     Refuse,
-    RequestClass,
     Send,
     ServerEntry,
     ServerList,
@@ -40,32 +45,19 @@
     Timer,
     Watch,
     WatchLost,
+    WatchOpened,
 )
-from granitepoint.leases import Leases
+from granitepoint.membership.backoff import LONGEST_PAUSE, Backoff
+from granitepoint.membership.evidence import AT_ONCE, Failure
+from granitepoint.membership.health_checks import HealthLeases
+from granitepoint.membership.list_lease import ListLease
 
 # -- tunables: name, unit, reason ----------------------------------------------------------------------
 STEP = 0.05  # s, the control step: a few steps fit into the shortest call worth steering
 CALLS_REMEMBERED = 1000  # calls that are over whose ids are still known
 STALL = 4 * STEP  # s without a turn after which the times of what comes tell of this instance itself
 ANSWER_MARGIN = 2 * STEP  # s before a client's deadline at which a held call is answered at the latest
-MEMORY = 2.0  # s, memory of the arrival rate and procQ: long against one call, short against a trouble
-FEWEST_SAMPLES = 10  # calls, below which procQ and H say nothing and nothing is refused
-HISTORY = 300  # worths kept in H: the cut's error is then about 3 points of 100
-BUDGETS = 64  # time budgets of a class that are kept to know the usual one
-TARGET = 0.35  # share of the aim that all but LATE_SHARE of the answers should take
-SLACK = 0.8  # share of W up to which no call is refused for its worth; W grows beyond it
-LATE_SHARE = 0.2  # share of answers past the target at which W stands still
-BASE_RATIO = 1.75  # unhurried mean latencies that the target is at least: a long tail passes less
-BASE_SAMPLES = 50  # answers before the unhurried latency is taken from them
-BASE_CALLS = 200  # answers in that mean: the least of a mean over few calls with long tails is far too low
-BASE_MEMORY = 60.0  # s in which the unhurried latency follows a lasting rise
-MOST_TARGET = 0.9  # share of the aim that the target stays within, and where it starts
-LEAST_WINDOW = 2.0  # calls; W does not recover well from less
-LEAST_PER_SERVER = 2.0  # calls for each server that the first tier's instances share, if these are the more
-MOST_STEP = 0.3  # share of W that one call moves it by at most
 LEAST_LATENCY = 1e-4  # s; no answer counts as quicker, so that means stay above 0
-FIRST_WINDOW = 4.0  # calls, where W starts before anything is known
-SUNK = 0.5  # added to ST's weight per tier above: work done there is lost by a refusal here
 POOL_LOCAL = 10  # servers of the own zone that an instance uses
 POOL = 16  # servers that an instance uses in all
 PRIOR = 8.0  # samples that the prior of a server's capacity weighs
@@ -111,6 +103,10 @@
 OPEN_DEAR = 1.5  # mean latencies that a new connection adds, above which a doubtful old one is used
 OPEN_LEAST = 0.3  # mean latencies by which a server with an open connection is preferred at least
 OPEN_MEMORY = 30  # sends over which new and open connections are compared
+HELD_FOR_LIST = 0.4  # share of a call's time for which it waits for a list that may be sent by
+FIRST_ASK = 2.0  # s over which the first calls of all instances are spread at most
+FIRST_ASK_EACH = 0.02  # s of that for each instance of each tier
+FAILED_ASK = 4.0  # times the settings' time for asking that a proxy whose call failed may wait
 ADVICE = 0.25  # procQ that a refused client is told to stay away
 TICK_TOKEN, ASK_TOKEN = 1, 2
 MOST_LATENCIES = 8.0  # mean latencies that a failed attempt counts as at most
@@ -174,7 +170,8 @@
 
     def __init__(self, settings: Settings, actions: list[Action]) -> None:
         self.settings = settings
-        self.leases = Leases(confirmed=not settings.ask_for_list, checkable=settings.may_probe)
+        self.list_lease = ListLease(settings.told_after)
+        self.health = HealthLeases(confirmed=not settings.ask_for_list, checkable=settings.may_probe)
         self.actions = actions
         self.calls: dict[int, Call] = {}
         self.over: dict[int, None] = {}  # ids of the last calls that are over: no news
@@ -188,10 +185,11 @@
         return None
 
     def may_send(self, call: Call, server: Server, now: float) -> bool:
-        return self.leases.valid(server, now) and self.may_send_if_leased(call, server, now)
+        leased = self.list_lease.valid(now) and self.health.valid(server, now)
+        return leased and self.may_send_if_leased(call, server, now)
 
     def may_send_if_leased(self, call: Call, server: Server, now: float) -> bool:
-        """All but the lease, which a health check may renew at any moment."""
+        """All but the leases, which a list or a health check may renew at any moment."""
         if call.streaming or now >= call.deadline or server.state is not ServerState.SERVING:
             return False
         if not call.attempts:
@@ -283,138 +281,6 @@
             self.remember(call.id)
 
 
-# -- admission -------------------------------------------------------------------------------------------
-class Kind:
-    """A class of requests with what was learned of it."""
-
-    def __init__(self, cls: RequestClass, stage: int) -> None:
-        self.name = cls.name
-        self.worth, self.aim, self.deadline, self.effect = cls.worth, cls.aim, cls.deadline, cls.effect
-        self.group, self.window = cls.group, cls.window
-        self.late_counts = cls.late_worth > 0
-        # The target of an inner call: a caller makes about two calls, one after another, at each tier.
-        self.least_target = TARGET * cls.aim * 0.5**stage
-        # Until the unhurried latency is known the target is the loosest: where an instance sees a call a
-        # second, a guess of the unhurried latency that is too low closes W on a quiet day and keeps it shut.
-        self.target = MOST_TARGET * cls.aim
-        self.base = math.inf  # s, the mean latency when little is in the way
-        self.mean = Mean(self.least_target / 2)
-        self.steady = Mean(self.least_target / 2)  # over more calls
-        self.budgets: deque[float] = deque(maxlen=BUDGETS)
-        self.usual, self.fresh_budgets = 0.0, 0
-
-    def took(self, elapsed: float) -> None:
-        self.mean.add(elapsed, 50)
-        self.steady.add(elapsed, BASE_CALLS)
-
-    def learn_base(self, span: float) -> None:
-        """A target below what an unhurried call takes would close W on a quiet day."""
-        mean = self.steady
-        if mean.count >= BASE_SAMPLES:
-            creep = 0.0 if math.isinf(self.base) else (mean.value - self.base) * span / BASE_MEMORY
-            self.base = min(mean.value, self.base + creep)
-            self.target = max(self.least_target, min(BASE_RATIO * self.base, MOST_TARGET * self.aim))
-
-    def usual_budget(self, budget: float) -> float:
-        """The median of the recent budgets, renewed now and then."""
-        self.budgets.append(budget)
-        self.fresh_budgets += 1
-        if self.fresh_budgets >= BUDGETS // 4 or len(self.budgets) < BUDGETS // 4:
-            self.fresh_budgets = 0
-            self.usual = sorted(self.budgets)[len(self.budgets) // 2]
-        return self.usual
-
-
-class Mean:
-    """A running mean of the last few samples, from a prior."""
-
-    __slots__ = ("count", "value")
-
-    def __init__(self, prior: float) -> None:
-        self.value = prior
-        self.count = 0.0
-
-    def add(self, sample: float, memory: float) -> None:
-        self.count = min(self.count + 1, memory)
-        self.value += (sample - self.value) / self.count
-
-
-class Admission:
-    """procQ, the arrival rate, the history H of worths, the window W and the cut that follows from them."""
-
-    def __init__(self, stage: int, random: Random) -> None:
-        self.stage = stage
-        self.random = random
-        self.latency = Mean(0.0)
-        self.age = 0.0  # mean age of the calls out
-        self.rate = 0.0
-        self.rate_span = 0.0
-        self.history: deque[float] = deque(maxlen=HISTORY)
-        self.window = FIRST_WINDOW
-        self.least = LEAST_WINDOW
-        self.starting = True  # W doubles each round until the first bad sign
-        self.cut, self.tie = -math.inf, 0.0
-
-    @property
-    def proc(self) -> float:
-        # A hung server finishes nothing, so the ages of what is out count too.
-        return max(self.latency.value, 0.5 * self.age)
-
-    def observe_rate(self, arrivals: int, span: float) -> None:
-        self.rate_span = min(self.rate_span + span, MEMORY)
-        self.rate += (arrivals / span - self.rate) * min(1.0, span / self.rate_span)
-
-    def observe_latency(self, latency: float) -> None:
-        self.latency.add(latency, max(FEWEST_SAMPLES, self.rate * MEMORY))
-
-    def set_least(self, servers: int, balancers: int) -> None:
-        """With more instances than servers, two calls of each would crowd every server. Inner tiers keep
-        the floor: a refusal there loses the work above."""
-        if self.stage == 0:
-            self.least = min(LEAST_WINDOW, max(1.0, LEAST_PER_SERVER * servers / balancers))
-
-    def step(self) -> float:
-        return min(MOST_STEP * self.window, 1 / math.sqrt(self.window))
-
-    def good(self, busy: float) -> None:
-        """An answer within its target. W grows only while it is what limits."""
-        if busy + 1 >= SLACK * self.window:
-            self.window += 0.5 if self.starting else LATE_SHARE / (1 - LATE_SHARE) * self.step()
-
-    def bad(self) -> None:
-        self.starting = False
-        self.window = max(self.least, self.window - self.step())
-
-    def drop(self) -> float:
-        if self.latency.count < FEWEST_SAMPLES or len(self.history) < FEWEST_SAMPLES or self.rate <= 0:
-            return 0.0
-        supported = self.window / max(self.proc, 1e-6) * (1 + SUNK * self.stage)
-        return max(0.0, 1 - supported / self.rate)
-
-    def set_cut(self) -> None:
-        target = self.drop()
-        if target <= 0:
-            self.cut, self.tie = -math.inf, 0.0
-            return
-        count = len(self.history)
-        below = 0.0
-        counts: dict[float, int] = {}
-        for worth in self.history:
-            counts[worth] = counts.get(worth, 0) + 1
-        for worth in sorted(counts):
-            share = counts[worth] / count
-            if below + share >= target - 1e-12:
-                # Worth has few levels: ties at the cut are refused by chance, up to the target.
-                self.cut, self.tie = worth, (target - below) / share
-                return
-            below += share
-
-    def admits(self, worth: float) -> bool:
-        if worth == self.cut:
-            return self.random.random() >= self.tie
-        return worth > self.cut
-
-
 # -- servers ---------------------------------------------------------------------------------------------
 class Server:
     def __init__(self, entry: ServerEntry, tokens: float) -> None:
@@ -729,7 +595,7 @@
         self.random = Random(seed)
         self.actions: list[Action] = []
         self.gate = Obligations(settings, self.actions)
-        self.leases = self.gate.leases
+        self.list_lease, self.health = self.gate.list_lease, self.gate.health
         self.kinds = {cls.name: Kind(cls, settings.stage) for cls in settings.classes}
         self.admission = Admission(settings.stage, self.random)
         self.servers = Servers(settings, self.random)
@@ -750,7 +616,7 @@
         self.watching = not settings.ask_for_list
         self.watch_at = -1.0
         self.asked_at = 0.0  # the start of the last watch
-        self.backoff = Backoff(self.random, min(LONGEST_PAUSE, settings.must_ask_within))
+        self.backoff = Backoff(self.random, min(LONGEST_PAUSE, FAILED_ASK * settings.must_ask_within))
         self.told_at = 0.0  # the last list, or the start of a watch
         self.doubt_at = math.inf  # when to ask although a watch is on
 
@@ -772,7 +638,11 @@
             elif type(event) is ServerList:
                 self.on_list(event)
             elif type(event) is WatchLost:
-                self.leases.lose(now, event.told_within)
+                self.on_watch_lost(event)
+            elif type(event) is WatchOpened:
+                self.list_lease.watching(event.begun, event.hold)
+            elif type(event) is DiscoveryFailed:
+                self.list_lease.failed(event.failure, event.begun, event.ended, event.beside)
             elif type(event) is ClosedAtRest:
                 self.servers.doubt_rest(event.rested)
             elif type(event) is Gone:
@@ -786,7 +656,10 @@
         for call in fresh:
             if not call.ended:  # the client may leave within the batch that it came in
                 self.admit(call)
-        self.dispatch()
+        if self.list_lease.valid(now):
+            self.dispatch()
+        else:
+            self.wait_for_list()
         self.shrink()
         if not self.timer_set:
             self.timer_set = True
@@ -796,17 +669,30 @@
     def start(self) -> None:
         self.last_step = self.now
         # Discovery is small and all instances may start at once: the first call is spread out.
-        self.watch_at = self.now + self.random.random() * min(2.0, self.settings.must_ask_within / 4)
+        instances = self.settings.balancers * self.settings.stages
+        spread = min(FIRST_ASK, FIRST_ASK_EACH * instances, self.settings.must_ask_within / 4)
+        self.watch_at = self.now + self.random.random() * spread
 
     # events
+    def on_watch_lost(self, event: WatchLost) -> None:
+        self.health.lose(self.now, event.told_within)
+        if event.moved:
+            self.list_lease.cut(self.now + event.told_within)
+        elif event.silent:
+            self.list_lease.silent(self.now)
+
     def on_list(self, event: ServerList) -> None:
         if event.kind is ListKind.FAILED:
-            self.leases.lose(self.now, math.inf)
+            self.health.lose(self.now, math.inf)
             self.watching = False
-            self.watch_at = self.now + self.backoff.failed(self.now - self.asked_at)
+            waited = self.now - self.asked_at
+            failure = event.failure or (Failure.AT_ONCE if waited <= AT_ONCE else Failure.WAITED)
+            self.watch_at = self.now + self.backoff.failed(failure)
         else:
             if event.kind is not ListKind.SAVED:
-                self.leases.confirm()
+                self.health.confirm()
+                written_after = self.now if event.written_after is None else event.written_after
+                self.list_lease.listed(written_after, self.now, event.ends_watch)
                 self.backoff.succeeded()
                 self.told_at, self.doubt_at = self.now, math.inf
             self.servers.take_list(event, self.now)
@@ -1178,7 +1064,7 @@
 
     def renew_leases(self) -> None:
         """Paid for by the steady probes that come after, for these bring reports too."""
-        for server in self.leases.due(self.servers.pool, self.now, self.busy + len(self.queue)):
+        for server in self.health.due(self.servers.pool, self.now, self.busy + len(self.queue)):
             self.probe_tokens = max(-LEASE_DEBT, self.probe_tokens - 1)
             self.send_probe(server)
 
@@ -1249,7 +1135,7 @@
                 continue
             choice = servers.pick(call, self.gate, now)
             if choice is None:
-                if self.leases.needed(now):
+                if self.health.needed(now):
                     self.renew_leases()
                 if not call.attempts:
                     return
@@ -1283,6 +1169,27 @@
             self.busy += 1
             self.sends += 1
 
+    def wait_for_list(self) -> None:
+        """Nothing may be sent by the list that is held. What has waited for a part of its time, or would for
+        nothing, is answered: its client has time left to go elsewhere."""
+        soonest = self.now if self.watching else self.watch_at
+        kept: list[Call] = []
+        for call in self.queue:
+            until = call.arrived + HELD_FOR_LIST * (call.deadline - call.arrived)
+            if self.now < until and soonest < until:
+                kept.append(call)
+                continue
+            call.queued = False
+            if not call.out:
+                self.gate.answer(call, self.advice_without_list(soonest))
+        self.queue[:] = kept
+
+    def advice_without_list(self, soonest: float) -> float:
+        """When a refused client should come back: once a list may have come."""
+        if not self.settings.may_advise_wait:
+            return 0.0
+        return min(self.settings.max_wait_advice, max(self.advice(), soonest - self.now))
+
     def shrink(self) -> None:
         """A held call's wait is about (place+1)*procQ/W and must fit what is left of its usefulness."""
         if not self.queue:
--- a/granitepoint/leases.py
+++ b/granitepoint/membership/health_checks.py
@@ -1,11 +1,11 @@
-"""Leases on servers: which of them may be sent to while nothing confirms the list of servers.
+"""Leases on servers: which of the listed ones are used while nothing confirms the list.
 
 A list is confirmed for as long as a watch of discovery goes on, since every change is told on it. From
 the moment at which the watch ends, fails or falls silent, a server may begin to drain and nobody tells.
 Each server then holds a lease, counted from that moment, and each health check that it passes is a new
-one: a server that drains fails its health checks from before discovery knows of the drain, though it may
-go on serving. Without a valid lease it gets no attempt. The age of what an attempt relies on is bounded by
-that, however long discovery is away or crowded.
+one; without a valid lease it gets no attempt. This is a filter within the lease on the list, which
+`list_lease` bounds: most servers that drain fail their health checks, but one that passes may be gone all
+the same.
 """
 
 from __future__ import annotations
@@ -38,7 +38,7 @@
 Checked = TypeVar("Checked", bound=Leased)
 
 
-class Leases:
+class HealthLeases:
     """Whether the list is confirmed, and what holds for a server while it is not."""
 
     def __init__(self, confirmed: bool, checkable: bool) -> None:
--- /dev/null
+++ b/granitepoint/membership/list_lease.py
@@ -0,0 +1,95 @@
+"""The lease on the list of servers: until when may a proxy send by the list that it has?
+
+A change counts as told some seconds after discovery had it and could be reached, whether or not it was
+answered. So each list may be used that long beyond the newest moment up to which no change can have gone
+untold. Only proof moves that moment on: a list, a watch that goes on, a discovery that nobody could reach.
+Waits, silence, passed health checks and the mere passing of time are no proof. Without a lease nothing is
+sent: requests wait for a list for a part of their time and are then refused.
+"""
+
+from __future__ import annotations
+
+import math
+
+from granitepoint.membership.evidence import Failure
+
+TOLD_AFTER = 6.0  # s after discovery had a change, and could be reached, from which it counts as told
+HOLD_TOLD = 2.0  # s after the end of its hold from which what a silent watch misses counts as told
+CONTINUES = 0.2  # s after an answer within which the next call goes on with the same watch
+SPARE = 0.1  # s of the grace of a drain that may pass between this decision and the first byte
+
+
+class ListLease:
+    """Which evidence is proof, and until when. Times are in seconds, on the clock of the events."""
+
+    def __init__(self, told_after: float, confirmed: bool = False) -> None:
+        """`told_after`: s after which an untold change counts as told; 0 where lists are pushed, infinite
+        where there is no such time. `confirmed`: changes are told without a call for them."""
+        self.told_after = told_after
+        self.confirmed = confirmed
+        self.proven_until = -math.inf  # no change before it went untold; a new process knows of none
+        self.answered_at = -math.inf
+        self.watch_until = -math.inf  # what a watch that is out would have missed counts from then
+        self.cut_at = math.inf  # from then on changes count as told at once, until the next list
+        self.outage = False  # discovery was seen to go down, and no call waited since
+
+    @property
+    def expires_at(self) -> float:
+        """When the lease ends, if nothing more comes; infinite where it never does."""
+        if math.isinf(self.told_after) or self.confirmed:
+            return math.inf
+        until = max(self.proven_until + self.told_after, self.watch_until)
+        if until > self.cut_at:
+            until = max(self.cut_at, self.proven_until)
+        return until + SPARE
+
+    def valid(self, now: float) -> bool:
+        return now <= self.expires_at
+
+    def listed(self, written_after: float, answered_at: float, ends_watch: bool = True) -> None:
+        """A list came that was written no sooner than `written_after`. `ends_watch`: on the newest call."""
+        self.proven_until = max(self.proven_until, written_after)
+        self.answered_at = answered_at
+        if ends_watch:
+            self.watch_until = -math.inf
+        self.cut_at = math.inf
+        self.outage = False
+
+    def watching(self, begun: float, hold: float) -> None:
+        """A call is out that discovery holds for up to `hold` s. It counts where it goes on with a watch:
+        what it misses if it is silent counts as told after its hold."""
+        if begun - self.answered_at <= CONTINUES:
+            self.watch_until = begun + max(TOLD_AFTER, hold + HOLD_TOLD)
+
+    def failed(self, failure: Failure, begun: float, ended: float, beside: bool = False) -> None:
+        """The newest call failed, `ended` being when that was seen. `beside`: an older one is still out."""
+        if failure is Failure.REFUSED:
+            self.outage = True
+            self._prove(begun)
+        elif failure is Failure.WATCH_LOST:
+            self.outage = True
+            self._prove(ended)
+        elif failure is Failure.WATCH_CUT:
+            self.outage = True
+        elif failure is Failure.AT_ONCE:
+            # A crowded discovery fails at once too, while it tells others: only where it was seen to go down.
+            if self.outage:
+                self._prove(begun)
+        elif failure in (Failure.WAITED, Failure.SILENT):
+            self.outage = False
+        if beside:
+            self.watch_until = min(self.watch_until, begun + TOLD_AFTER)
+        elif not ended < self.cut_at < math.inf:  # a move has ended that watch, with the time that it gives
+            self.watch_until = -math.inf
+
+    def _prove(self, moment: float) -> None:
+        self.proven_until = max(self.proven_until, moment)
+
+    def silent(self, now: float) -> None:
+        """The watch that is out has said nothing for so long that another call is made beside it."""
+        self.watch_until = min(self.watch_until, now + TOLD_AFTER)
+
+    def cut(self, at: float) -> None:
+        """From `at` on changes count as told at once, until the next list: discovery has moved."""
+        self.cut_at = min(self.cut_at, at)
+        self.outage = False
--- a/granitepoint/modelcheck/proxy.py
+++ b/granitepoint/modelcheck/proxy.py
@@ -12,6 +12,7 @@
 
 from granitepoint import __main__ as program
 from granitepoint.interface import Effect, RequestClass, Settings
+from granitepoint.membership.evidence import Failure
 from granitepoint.modelcheck.sockets import Clock, Link, Loop, Peer
 from granitepoint.modelcheck.world import RuleBroken
 from granitepoint.net import discovery, driver, server, upstream
@@ -195,6 +196,8 @@
     """Stands in for the client of discovery: lists come from the model alone."""
 
     pushed = False
+    version = 0
+    failure = Failure.SILENT
 
     def watch(self, on: bool) -> None:
         pass
@@ -248,6 +251,7 @@
         async def start() -> None:
             self.driver = driver.Driver(config)
             self.driver.discovery = Discovery()  # type: ignore[assignment]
+            self.driver.balancer.list_lease.confirmed = True
             advice = self.driver.advice(driver.NO_ROOM_ADVICE)
             self.server = server.Server(self.driver.effects, self.driver, sockets, 64.0, advice)
             self.driver.start()
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -14,8 +14,11 @@
 
 import httptools
 
-from granitepoint.backoff import JITTER, Backoff
-from granitepoint.interface import ServerEntry, ServerState
+from granitepoint.interface import DiscoveryFailed, ServerEntry, ServerState, WatchLost, WatchOpened
+from granitepoint.membership.backoff import Backoff
+from granitepoint.membership.evidence import Failure, classify
+from granitepoint.membership.list_lease import CONTINUES, HOLD_TOLD
+from granitepoint.membership.list_lease import TOLD_AFTER as SILENT_TOLD
 from granitepoint.net.config import Address, address
 from granitepoint.net.logs import Events
 
@@ -23,20 +26,21 @@
 
 RENEW = 18.0  # s after which a watch that has said nothing is asked anew: it may have fallen silent
 HOLD_MS = 25_000  # how long a watch may wait; what a silent one misses counts as told 2 s after that
-CONFIRM_HOLD_MS = 500  # the same until an answer confirms the list, which no change may come to do
+CONFIRM_HOLD_MS = 50  # the same until an answer confirms the list: until then nothing may be sent by it
 CONFIRM_WAIT = 3.2  # s after which such a call is silent: in turn and held it takes 2.5 s at most
-SILENT_TOLD = 6.0  # s after a watch fell silent from which all that it misses counts as told at once,
-HOLD_TOLD = 2.0  # or s after the end of its hold, if that is later
 PATIENCE = 4.0  # s beyond a call's own wait after which it has failed: calls wait in turn
 CONNECT_TIMEOUT = 1.0  # s
 LEAST_SPACING = 0.05  # s between two watches, should discovery answer each at once
 LARGEST = 8 << 20  # bytes of an answer
 PUSH_PAUSE = 0.15  # s between tries to open a watch on pushed lists, which count as told at once
+PUSH_JITTER = 0.5  # share by which such a pause may be shorter: all that lost one service would ask in step
+HELD_UP = 0.15  # s that an answer may have been on its way, or this process held up, before it is read
 MOVE_TOLD = 4.0  # s after a move from which all that the new address has counts as told
 MOVE_AGAIN = 3.5  # s after which the first list is asked for once more: the call is silent, not in turn
 MOVE_TRIES = 15  # such tries, before the module is told that the call failed
 EARLIER = 0.15  # share by which RENEW and MOVE_AGAIN may be shorter, so that none ask in step
 
+Evidence = WatchLost | WatchOpened | DiscoveryFailed
 STATES = {"Ready": ServerState.SERVING, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
 # Wall less monotonic time, taken once: the same since_ms must give the same figure in every list, or a step
 # of the wall clock would look like a restart of every backend.
@@ -56,6 +60,8 @@
     version: int
     whole: bool
     backends: list[Listed]
+    written_after: float | None = None  # monotonic, when it was written at the earliest; None: unknown
+    ends_watch: bool = True  # it came on the newest call; otherwise a watch is still out
 
 
 def server_id(name: str) -> int:
@@ -99,6 +105,7 @@
         self.parser: Any = None
         self.body = bytearray()
         self.raw = 0  # bytes of the answer as they came
+        self.asked = False  # the request of this call was written: what fails now, fails at discovery
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)  # uvloop's own class
@@ -139,6 +146,7 @@
 
     async def get(self, at: Address, target: str, timeout: float) -> tuple[int, bytes]:
         loop = asyncio.get_running_loop()
+        self.asked = False
         try:
             async with asyncio.timeout(timeout):
                 if self.transport is None:
@@ -150,6 +158,7 @@
                 self.raw = 0
                 self.answer = loop.create_future()
                 self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {at[0]}:{at[1]}\r\n\r\n".encode())
+                self.asked = True
                 return await self.answer
         except BaseException:
             self.close()
@@ -158,6 +167,29 @@
             self.answer = None
 
 
+def tell_failure(fault: Exception, asked: bool, waited: float, continued: bool) -> Failure:
+    """What the end of a call to discovery is evidence of. `asked`: its request had been written."""
+    if isinstance(fault, ConnectionRefusedError):
+        return Failure.REFUSED
+    if isinstance(fault, TimeoutError):
+        return Failure.SILENT
+    if not asked and not isinstance(fault, ConnectionError):
+        return Failure.OWN_FAULT  # no socket, no port, no route: of this machine, and for a moment
+    if isinstance(fault, OSError) and not isinstance(fault, ConnectionError):
+        return Failure.SILENT  # a connection that broke for want of a word from the other side
+    return classify(waited, continued)
+
+
+@dataclass(slots=True)
+class Ask:
+    """One call: when it was begun (monotonic), for how long discovery may hold it, and whether it goes on
+    with a watch that had just been answered."""
+
+    begun: float
+    hold: float = 0.0
+    continued: bool = False
+
+
 class Discovery:
     """Asks as the module says, and hands on each list, or that a call failed. Asks nothing by itself, but
     for the next call of a watch that goes on, and where lists are pushed: there the module never asks, and
@@ -171,13 +203,16 @@
         on_failed: Callable[[], None],
         random: Random,
         pushed: bool = False,
-        on_lost: Callable[[float], None] = lambda told_within: None,
+        on_evidence: Callable[[Evidence], None] = lambda evidence: None,
     ) -> None:
         self.at, self.random, self.pushed = at, random, pushed
         self.version: int | None = version  # None: nothing is known of this server's versions yet
         self.on_list, self.on_failed = on_list, on_failed
-        self.on_lost = on_lost  # the watch failed or fell silent; with the s until all counts as told
-        self.confirmed = False  # a list has come since then
+        self.on_evidence = on_evidence  # told of all that bears on how long the list may be used
+        self.failure = Failure.SILENT  # how the last call that failed did so
+        self.answered_at = -math.inf  # monotonic, of the last answer with a list
+        self.newest: Ask | None = None  # the last call of a watch
+        self.confirmed = False  # a list has come since the watch was lost
         self.lists = 0  # taken so far
         self._watch: asyncio.Task[None] | None = None
         self._asks: dict[asyncio.Task[bool], _Channel] = {}  # of the watch, the one before still among them
@@ -189,6 +224,7 @@
         server yet goes on as it is: it asks again by itself, and begun anew it would ask for all twice."""
         if on and self.version is None and self._watch is not None and not self._watch.done():
             return
+        self.confirmed = False  # asked anew: until the answer comes it is no watch that goes on
         if self._watch is not None:
             self._watch.cancel()
             self._watch = None
@@ -201,13 +237,14 @@
         """Another server from now on. What the old one may still say is not heard, and its versions tell
         nothing of the new one's: the whole list comes first, at once, and changes from there."""
         self.stop()
-        self._lose(MOVE_TOLD)
+        self._lose(MOVE_TOLD, moved=True)
         self.at, self.version = at, None
+        self.answered_at = -math.inf  # the answer was another's
         self.watch(True)
 
-    def _lose(self, told_within: float = math.inf) -> None:
+    def _lose(self, told_within: float = math.inf, moved: bool = False, silent: bool = False) -> None:
         self.confirmed = False
-        self.on_lost(told_within)
+        self.on_evidence(WatchLost(told_within, moved, silent))
 
     def fetch(self) -> None:
         task = asyncio.get_running_loop().create_task(self._fetching())
@@ -239,14 +276,18 @@
                 begun, first = loop.time(), self.version is None
                 hold = (HOLD_MS if self.confirmed else CONFIRM_HOLD_MS) / 1000
                 silent_after = MOVE_AGAIN if first else RENEW if self.confirmed else CONFIRM_WAIT
-                newest = loop.create_task(self._ask(channel, self._target(hold), hold + PATIENCE))
+                ask = Ask(time.monotonic(), hold, time.monotonic() - self.answered_at <= CONTINUES)
+                self.newest = ask
+                if not first:
+                    self.on_evidence(WatchOpened(ask.begun, hold))
+                newest = loop.create_task(self._ask(channel, self._target(hold), hold + PATIENCE, ask))
                 asks[newest] = channel
                 await asyncio.wait([newest], timeout=self._sooner(silent_after, EARLIER))
-                for ask in [ask for ask in asks if ask.done() and ask is not newest]:
-                    asks.pop(ask).close()
+                for older in [older for older in asks if older.done() and older is not newest]:
+                    asks.pop(older).close()
                 tries = tries + 1 if self.version is None else 0
                 if not newest.done():
-                    self._lose(begun + max(SILENT_TOLD, hold + HOLD_TOLD) - loop.time())
+                    self._lose(begun + max(SILENT_TOLD, hold + HOLD_TOLD) - loop.time(), silent=True)
                     channel = _Channel()
                     continue
                 del asks[newest]
@@ -255,10 +296,12 @@
                     await asyncio.sleep(max(0.0, begun + LEAST_SPACING - loop.time()))
                     continue
                 self._lose()
+                ended = time.monotonic()
+                self.on_evidence(DiscoveryFailed(self.failure, ask.begun, ended, beside=bool(asks)))
                 if self.pushed:
-                    await asyncio.sleep(self._sooner(PUSH_PAUSE, JITTER))
+                    await asyncio.sleep(self._sooner(PUSH_PAUSE, PUSH_JITTER))
                 elif asks or (first and tries < MOVE_TRIES):
-                    await asyncio.sleep(backoff.failed(loop.time() - begun))
+                    await asyncio.sleep(backoff.failed(self.failure))
                 else:
                     self._watch = None  # over, for whom it tells
                     self.on_failed()
@@ -278,37 +321,44 @@
     async def _fetching(self) -> None:
         channel = _Channel()
         try:
-            if not await self._ask(channel, "/v1/servers", PATIENCE):
+            ask = Ask(time.monotonic())
+            if not await self._ask(channel, "/v1/servers", PATIENCE, ask):
                 self.on_failed()
         finally:
             channel.close()
 
-    async def _ask(self, channel: _Channel, target: str, timeout: float) -> bool:
+    async def _ask(self, channel: _Channel, target: str, timeout: float, ask: Ask) -> bool:
         """Whatever goes wrong ends this call only: a watch that ended untold would never be renewed."""
         lists, held = self.lists, self.version
-        begun = asyncio.get_running_loop().time()
         try:
             code, body = await channel.get(self.at, target, timeout)
             if code != 200:
                 raise ValueError(f"status {code}")
             listing = read_listing(json.loads(body))
-            waited = asyncio.get_running_loop().time() - begun
+            now = time.monotonic()
+            waited = now - ask.begun
             if lists != self.lists and self.version is not None and listing.version < self.version:
                 log.info("list_dropped", version=listing.version, held=self.version, waited_s=waited)
                 return True
+            # What goes on with a watch is written when something changes; any other call in its turn.
+            listing.written_after = max(ask.begun, now - HELD_UP) if ask.continued else ask.begun
+            listing.ends_watch = ask is self.newest
             self.on_list(listing)
         except Exception as fault:
             told = str(fault) or type(fault).__name__
-            waited = asyncio.get_running_loop().time() - begun
+            waited = time.monotonic() - ask.begun
+            self.failure = tell_failure(fault, channel.asked, waited, ask.continued)
             log.warning(
-                "discovery_failed", discovery="{}:{}".format(*self.at), fault=told, waited_s=waited, held=held
-            )
+                "discovery_failed", discovery="{}:{}".format(*self.at), fault=told, waited_s=waited,
+                held=held, evidence=self.failure.value, continued=ask.continued,
+            )  # fmt: skip
             return False
         log.info(
             "list_taken", version=listing.version, held=held, whole=listing.whole,
             entries=len(listing.backends), answered_bytes=len(body), waited_s=waited,
         )  # fmt: skip
         self.lists += 1
+        self.answered_at = now
         self.version = listing.version
         self.confirmed = True
         return True
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -11,11 +11,13 @@
 import time
 from collections import Counter
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 from typing import Any
 
 from granitepoint import interface as api
 from granitepoint.logic import Balancer
+from granitepoint.membership.list_lease import TOLD_AFTER
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import Discovery, Listing, read_listing
 from granitepoint.net.logs import Events
@@ -42,6 +44,7 @@
 MOST_FIGURE = 1e6  # of a report; more is no load, and would outweigh all other reports
 PROBE_TIMEOUT = 0.2  # s; a report that comes later is of no use
 DROPPED = HOP_BY_HOP | {b"x-load-report", b"x-rejected"}
+READY_BY = 5.0  # s after the start at which a proxy is ready though no list has come: it then refuses
 FIGURES_EVERY = 5.0  # s between two lines of figures
 REPORT_FIELDS = {
     "inflight": "busy_reqs", "queue": "pending", "util": "cpu_share",
@@ -82,7 +85,10 @@
 class Driver:
     def __init__(self, config: Config) -> None:
         self.loop = asyncio.get_running_loop()
-        self.config, self.settings = config, config.settings
+        pushed = not config.settings.ask_for_list
+        told_after = 0.0 if pushed else min(TOLD_AFTER, config.settings.must_ask_within)
+        self.settings = replace(config.settings, told_after=told_after)
+        self.config = config
         self.effects = {cls.name: cls.effect for cls in self.settings.classes}
         self.deadlines = {cls.name: cls.deadline for cls in self.settings.classes}
         self.balancer = Balancer(self.settings, config.seed)
@@ -129,8 +135,11 @@
             self._on_list_failed,
             Random(f"discovery {config.seed}"),  # not the module's own numbers once more
             pushed=not self.settings.ask_for_list,
-            on_lost=lambda told_within: self._push(api.WatchLost(told_within)),
+            on_evidence=self._push,
         )
+        self.started_at = time.monotonic()
+        self.was_ready = False
+        self.may_send = False  # by the list that is held
         self.upstreams.apply(known)
         self.events.append(self._server_list(known, api.ListKind.SAVED))
 
@@ -159,7 +168,8 @@
                 "figures",
                 window=admission.window, latency_s=admission.proc, rate_per_s=admission.rate,
                 cut=admission.cut, out=self.balancer.busy, held=len(self.balancer.queue),
-                list_confirmed=int(self.balancer.leases.confirmed),
+                list_confirmed=int(self.balancer.health.confirmed),
+                list_lease_s=self.balancer.list_lease.expires_at - time.monotonic(),
                 **{f"servers.{state}": count for state, count in sorted(states.items())},
                 **{f"target.{kind.name}_s": kind.target for kind in kinds},
                 **{f"mean.{kind.name}_s": kind.mean.value for kind in kinds},
@@ -189,6 +199,7 @@
         except Exception:
             self._recover(events)
             return
+        self._note_list_lease(now)
         for action in actions:
             try:
                 self.carriers[type(action)](action)
@@ -198,6 +209,16 @@
                 if number is not None:
                     self._give_up(number)
 
+    def _note_list_lease(self, now: float) -> None:
+        may_send = self.balancer.list_lease.valid(now)
+        if may_send != self.may_send:
+            self.may_send = may_send
+            log.info(
+                "list_usable" if may_send else "list_unusable",
+                version=self.discovery.version, last_failure=self.discovery.failure.value,
+                proven_s=now - self.balancer.list_lease.proven_until, held=len(self.balancer.queue),
+            )  # fmt: skip
+
     def _recover(self, events: list[api.Event]) -> None:
         """The module failed on a batch: its calls fail, its timers come again, the rest goes on."""
         log.exception("module_failed", events=len(events))
@@ -215,7 +236,8 @@
 
     @staticmethod
     def _server_list(listing: Listing, kind: api.ListKind) -> api.ServerList:
-        return api.ServerList(kind, [listed.entry for listed in listing.backends], listing.version)
+        entries = [listed.entry for listed in listing.backends]
+        return api.ServerList(kind, entries, listing.version, listing.written_after, listing.ends_watch)
 
     def _on_list(self, listing: Listing) -> None:
         if self.tracing:
@@ -229,7 +251,7 @@
         self._push(self._server_list(listing, kind))
 
     def _on_list_failed(self) -> None:
-        self._push(api.ServerList(api.ListKind.FAILED))
+        self._push(api.ServerList(api.ListKind.FAILED, failure=self.discovery.failure))
 
     def _on_closed_at_rest(self, upstream: Upstream, rested: float) -> None:
         for server, listed in self.upstreams.by_id.items():
@@ -238,7 +260,12 @@
 
     # the callers' side
     def ready(self) -> bool:
-        return self.upstreams.ready
+        """Whether what is sent here can be served. A new process does not know how old its list is, so it is
+        first taken in once one has come, or after a while, lest it be waited for in vain."""
+        now = time.monotonic()
+        lease = self.balancer.list_lease
+        self.was_ready = self.was_ready or lease.valid(now) or now > self.started_at + READY_BY
+        return self.was_ready and self.upstreams.ready
 
     def opened(self, request: Request, reply: Reply) -> OpenCall | None:
         if request.id in self.ids:
@@ -347,7 +374,8 @@
         def may_start() -> bool:
             if call.open and call.reply.gone():
                 self.left(call)
-            return call.open and upstream.serving
+            # The list may have grown too old during the connect, or while this process was held up.
+            return call.open and upstream.serving and self.balancer.list_lease.valid(time.monotonic())
 
         def done(exchange: Exchange) -> None:
             self._attempt_ended(call, number, action.server, exchange)
@@ -390,6 +418,8 @@
     def _refuse(self, action: api.Refuse) -> None:
         call = self.calls.get(action.call)
         if call is not None:
+            if not self.may_send:
+                self.counts["refused without list"] += 1
             self._close(call, 503, self.advice(action.retry_after), b"refused\n")
 
     def _fail(self, action: api.Fail) -> None:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -8,7 +8,7 @@
 from helpers import Driver, entries, only_send, sends, settings
 
 from granitepoint import Action, Event, ListKind, Probe, Probed, ServerList, Status, WatchLost
-from granitepoint.leases import LEASE, LEAST_LEASED, RENEW_AFTER, TOLD_LEASE
+from granitepoint.membership.health_checks import LEASE, LEAST_LEASED, RENEW_AFTER, TOLD_LEASE
 from granitepoint.net.discovery import MOVE_TOLD
 
 TOLD_AFTER = 6.0  # s after a change from which it counts as told, answered or not
--- a/tests/test_modelcheck.py
+++ b/tests/test_modelcheck.py
@@ -10,7 +10,8 @@
 from hypothesis import Phase
 
 from granitepoint import Balancer, Event, ListKind, Outcome, Refuse, ServerList, Settings, Status
-from granitepoint.logic import Call, Kind, Obligations, Server, Servers
+from granitepoint.admission import Kind
+from granitepoint.logic import Call, Obligations, Server, Servers
 from granitepoint.modelcheck import __main__ as command
 from granitepoint.modelcheck.__main__ import main
 from granitepoint.modelcheck.check import Found, check
