A listener of our own: what waits while accept fails stays in the backlog

Change: net/listener.py watches the socket and calls accept itself; errors of the waiting connection are passed over, all others are waited out for 10 ms, and without descriptors one is given up first. The shutdown waits for what has been accepted and is not yet a connection of the loop.

--- a/granitepoint/fleet/proxies.py
+++ b/granitepoint/fleet/proxies.py
@@ -17,6 +17,7 @@
 from granitepoint.net.config import Config
 from granitepoint.net.discovery import Listing
 from granitepoint.net.driver import Driver, OpenCall
+from granitepoint.net.listener import Listener
 from granitepoint.net.server import ClientConnection, Reply, Request, Server
 from granitepoint.net.upstream import PROVE, SETTLE, Exchange
 
@@ -72,9 +73,9 @@
     ended = False
 
     async def listen(self, host: str, port: int) -> int:
-        self.listener = await self.loop.create_server(lambda: TimedConnection(self), host, port, backlog=1024)
+        self.listener = Listener(host, port, lambda: TimedConnection(self), self._make_room)
         self._sweep_later()
-        return int(self.listener.sockets[0].getsockname()[1])
+        return self.listener.port
 
     def _sweep_later(self) -> None:
         if not self.ended:
--- /dev/null
+++ b/granitepoint/net/listener.py
@@ -0,0 +1,106 @@
+"""The listening socket: accepts what clients open, and says of each errno of accept(2) what follows from it.
+
+The event loop's own listener answers EMFILE and ENFILE by closing what waits, which ends requests that no
+one has read. Here it stays in the backlog of the kernel and is accepted some milliseconds later.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import select
+import socket
+from collections.abc import Callable
+
+from granitepoint.net.logs import Events
+
+log = Events(__name__)
+
+BACKLOG = 1024  # connections that the kernel holds until they are accepted
+ACCEPTS = 64  # in one turn of the loop at most, so that others have theirs
+ACCEPT_PAUSE = 0.01  # s until accept is called again after it said that this machine lacks something
+# Errors of the connection that was waiting, which is gone with them. All others are of this machine, for a
+# moment: nothing that waits is lost by waiting on.
+OF_THE_PEER = frozenset(
+    (
+        errno.ECONNABORTED, errno.EPROTO, errno.ENETDOWN, errno.ENOPROTOOPT, errno.EHOSTDOWN, errno.ENONET,
+        errno.EHOSTUNREACH, errno.EOPNOTSUPP, errno.ENETUNREACH, errno.EPERM, errno.ETIMEDOUT,
+    )
+)  # fmt: skip
+OUT_OF_DESCRIPTORS = errno.EMFILE
+
+
+class Listener:
+    """An open address, until it is closed. Each connection gets a protocol of its own."""
+
+    def __init__(
+        self, host: str, port: int, protocol: Callable[[], asyncio.Protocol], make_room: Callable[[], object]
+    ) -> None:
+        """`make_room` is asked to give up a connection where this process has no descriptor left. Raises
+        OSError where the address can't be had."""
+        self.loop = asyncio.get_running_loop()
+        self.protocol, self.make_room = protocol, make_room
+        # Given a name, even a numeric one, the loop starts four threads to look it up, and keeps them.
+        self.socket = socket.create_server((host, port), backlog=BACKLOG)
+        self.socket.setblocking(False)
+        self.port = int(self.socket.getsockname()[1])
+        self.adopting: set[asyncio.Task[None]] = set()  # accepted, and not yet connections of the loop
+        self.retry: asyncio.TimerHandle | None = None
+        self.closed = False
+        self.loop.add_reader(self.socket, self._accept)
+
+    @property
+    def pending(self) -> bool:
+        """Whether something that has connected is not yet a connection of the loop."""
+        if self.closed:
+            return bool(self.adopting)
+        poll = select.poll()
+        poll.register(self.socket.fileno(), select.POLLIN)
+        return bool(self.adopting or poll.poll(0))
+
+    def close(self) -> None:
+        """What the kernel holds for it is reset: see `pending`."""
+        if not self.closed:
+            self.closed = True
+            if self.retry is not None:
+                self.retry.cancel()
+            self.loop.remove_reader(self.socket)
+            self.socket.close()
+
+    def _accept(self) -> None:
+        for _ in range(ACCEPTS):
+            try:
+                accepted, _ = self.socket.accept()
+            except (BlockingIOError, InterruptedError):
+                return
+            except OSError as fault:
+                if fault.errno in OF_THE_PEER:
+                    continue
+                self._wait(fault)
+                return
+            task = self.loop.create_task(self._adopt(accepted))
+            self.adopting.add(task)
+            task.add_done_callback(self.adopting.discard)
+
+    def _wait(self, fault: OSError) -> None:
+        """Looked at again after a pause: the socket stays readable, and the loop would spin."""
+        log.warning("accept_failed", fault=str(fault), again_s=ACCEPT_PAUSE)
+        if fault.errno == OUT_OF_DESCRIPTORS:
+            self.make_room()
+        self.loop.remove_reader(self.socket)
+        self.retry = self.loop.call_later(ACCEPT_PAUSE, self._resume)
+
+    def _resume(self) -> None:
+        self.retry = None
+        self.loop.add_reader(self.socket, self._accept)
+        self._accept()
+
+    async def _adopt(self, accepted: socket.socket) -> None:
+        try:
+            accepted.setblocking(False)
+            # Small answers would wait for the peer's acknowledgement, and go with a reset.
+            accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            await self.loop.connect_accepted_socket(self.protocol, accepted)
+        except OSError as fault:
+            log.warning("connection_lost_at_accept", fault=str(fault))
+            accepted.close()
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -5,7 +5,6 @@
 import asyncio
 import re
 import select
-import socket
 import time
 from collections import deque
 from collections.abc import Iterator, Mapping
@@ -16,6 +15,7 @@
 import httptools
 
 from granitepoint.interface import Effect
+from granitepoint.net.listener import Listener
 from granitepoint.net.logs import Events
 from granitepoint.net.upstream import HOP_BY_HOP, LATE, ONE_TURN, UPSTREAM_SHARE, clean
 
@@ -30,7 +30,6 @@
 KEPT = 5.0  # s after an answer for which a connection that asks nothing more is kept
 LINGER = 2.0  # s in which a last answer must have been taken; what still comes meanwhile is dropped
 SWEEP = 0.1  # s between looks for connections whose time is up
-BACKLOG = 1024  # connections that the kernel holds until they are accepted
 RESERVE = 24  # descriptors for the listener, discovery, the loop and the log, at 240 and more
 # Who makes room, in this order: who has asked nothing yet (fresh) or no more (kept), or had its last answer
 # (leaving), which may still be on its way, for so many s.
@@ -468,7 +467,7 @@
         self.kept: dict[ClientConnection, None] = {}  # answered, and asking nothing
         self.leaving: dict[ClientConnection, None] = {}  # have had their last answer
         self.draining = False  # each answer is the last on its connection
-        self.listener: asyncio.Server | None = None
+        self.listener: Listener | None = None
         self.sweep_due = 0.0
 
     def place(self, connection: ClientConnection, table: dict[ClientConnection, None] | None) -> None:
@@ -510,22 +509,14 @@
         return False
 
     async def listen(self, host: str, port: int) -> int:
-        # Given a name, even a numeric one, the loop starts four threads to look it up, and keeps them.
-        bound = socket.create_server((host, port), backlog=BACKLOG)
-        self.listener = await self.loop.create_server(
-            lambda: ClientConnection(self), sock=bound, backlog=BACKLOG
-        )
+        self.listener = Listener(host, port, lambda: ClientConnection(self), self._make_room)
         self._sweep_later()
-        return int(self.listener.sockets[0].getsockname()[1])
+        return self.listener.port
 
     async def take_last(self, by: float) -> None:
         """Stops listening once all that has connected is accepted, or at that time: what the kernel holds for
         a listener when it closes is reset, with the requests that have come on it."""
-        while self.listener is not None and time.monotonic() < by:
-            poll = select.poll()
-            poll.register(self.listener.sockets[0].fileno(), select.POLLIN)
-            if not poll.poll(0):
-                break
+        while self.listener is not None and self.listener.pending and time.monotonic() < by:
             await asyncio.sleep(ONE_TURN)
         self.stop_listening()
 
