Fault injection as reusable pieces, a soak, and the list lease held over drawn histories

Cause mended on the way, found by the state machine in test_list_lease.py (failing late for 7 s, then refusing: sent 1.9 s after told): a refused connection brought a lease back that had ended. What counts as told stays told, so only a list does that; a new process sends nothing before its first list. A 503 proves nothing any more, also after a watch was lost: it is an answer, and a crowded discovery that is up gives it.

New: the rig, the soak (granitepoint soak), its checker with a test that breaks each rule by hand.

--- a/granitepoint/cli/app.py
+++ b/granitepoint/cli/app.py
@@ -250,6 +250,29 @@
     return write(results, out)
 
 
+@app.command(name="soak")
+def soak_command(
+    *,
+    seeds: Annotated[str, cyclopts.Parameter(help="a seed, or the first and the last: 1-50")] = "1",
+    seconds: Annotated[float, cyclopts.Parameter(help="s of real time that each seed plays")] = 16.0,
+    proxies: Annotated[int, cyclopts.Parameter(help="real proxies of each seed")] = 3,
+    servers: Annotated[int, cyclopts.Parameter(help="stand-ins for servers of each seed")] = 6,
+    at_once: Annotated[int, cyclopts.Parameter(help="seeds played at a time")] = 4,
+) -> int:
+    """Play real proxies on loopback under drawn faults, and hold the rules against what others recorded."""
+    try:
+        from granitepoint.faults.command import parse_seeds, run_soak
+    except ModuleNotFoundError as fault:
+        return _refuse_for("soak", "fleet", fault)
+    try:
+        wanted = parse_seeds(seeds)
+    except ValueError:
+        return _refuse(f"soak: seeds are like 3 or 1-50, not {seeds!r}")
+    if seconds < 4 or proxies < 1 or servers < 3 or at_once < 1:
+        return _refuse("soak: at least 4 seconds, 1 proxy, 3 servers and 1 seed at once")
+    return run_soak(wanted, seconds, proxies, servers, at_once)
+
+
 @app.command
 def schema() -> None:
     """Print the JSON Schema of the configuration, as docs/config.schema.json holds it."""
--- a/granitepoint/faults/clients.py
+++ b/granitepoint/faults/clients.py
@@ -52,6 +52,7 @@
     requests: list[Request] = field(default_factory=list)
     numbers: Callable[[], int] = field(default_factory=lambda: count(1).__next__)
     stopped: bool = False
+    opens: bool = True  # new connections; a front that has heard of a shutdown sends none any more
 
     async def run(self, many: int) -> None:
         async with asyncio.TaskGroup() as group:
@@ -64,7 +65,8 @@
             if link is not None and (not link.reusable or self.random.random() < NEW_CONNECTION):
                 link.abort()
                 link = None
-            link = await self._request(link)
+            if link is not None or self.opens:
+                link = await self._request(link)
             await asyncio.sleep(self.random.uniform(*THINKS))
         if link is not None:
             link.abort()
--- a/granitepoint/faults/discovery.py
+++ b/granitepoint/faults/discovery.py
@@ -18,6 +18,7 @@
 
 FAILS_AFTER = 2.0  # s that a call waits before it fails, in a crowd and where discovery fails late
 TOLD_AFTER = 6.0  # s that discovery had a change, and could be reached, from which it counts as told
+MOVE_TOLD = 4.0  # s after SIGHUP from which what discovery has at its new address counts as told
 HOLD_TOLD = 2.0  # s after the end of its hold from which what a silent watch misses counts as told
 LONGEST_HOLD = 60.0  # s
 
@@ -81,6 +82,7 @@
         self.silenced: dict[Peer, tuple[Watch, float]] = {}  # watches that fell silent, and when
         self.written: list[tuple[float, int]] = []  # when, and up to which version
         self.calls = 0
+        self.moved_at = math.inf  # when its proxy was sent here by a new configuration
 
     @property
     def address(self) -> str:
@@ -253,4 +255,6 @@
             missed = silent_at <= change.made_at
             if missed:
                 told = max(told, silent_at + TOLD_AFTER, watch.begun + watch.hold + HOLD_TOLD)
+        if change.made_at <= desk.moved_at + MOVE_TOLD:
+            told = min(told, desk.moved_at + MOVE_TOLD)
         return min([told, *written])
--- a/granitepoint/membership/list_lease.py
+++ b/granitepoint/membership/list_lease.py
@@ -31,17 +31,18 @@
         self.answered_at = -math.inf
         self.watch_until = -math.inf  # what a watch that is out would have missed counts from then
         self.cut_at = math.inf  # from then on changes count as told at once, until the next list
-        self.outage = False  # discovery was seen to go down, and no call waited since
 
     @property
     def expires_at(self) -> float:
         """When the lease ends, if nothing more comes; infinite where it never does."""
         if math.isinf(self.told_after) or self.confirmed:
             return math.inf
-        until = max(self.proven_until + self.told_after, self.watch_until)
-        if until > self.cut_at:
-            until = max(self.cut_at, self.proven_until)
-        return until + SPARE
+        return self._untold_until + SPARE
+
+    @property
+    def _untold_until(self) -> float:
+        """Up to when no change that this instance missed can count as told."""
+        return min(self.cut_at, max(self.proven_until + self.told_after, self.watch_until))
 
     def valid(self, now: float) -> bool:
         return now <= self.expires_at
@@ -53,7 +54,6 @@
         if ends_watch:
             self.watch_until = -math.inf
         self.cut_at = math.inf
-        self.outage = False
 
     def watching(self, begun: float, hold: float) -> None:
         """A call is out that discovery holds for up to `hold` s. It counts where it goes on with a watch:
@@ -63,27 +63,21 @@
 
     def failed(self, failure: Failure, begun: float, ended: float, beside: bool = False) -> None:
         """The newest call failed, `ended` being when that was seen. `beside`: an older one is still out."""
+        # An answer is no proof of absence, whatever it says and however soon it comes: see Failure.
         if failure is Failure.REFUSED:
-            self.outage = True
             self._prove(begun)
         elif failure is Failure.WATCH_LOST:
-            self.outage = True
             self._prove(ended)
-        elif failure is Failure.WATCH_CUT:
-            self.outage = True
-        elif failure is Failure.AT_ONCE:
-            # A crowded discovery fails at once too, while it tells others: only where it was seen to go down.
-            if self.outage:
-                self._prove(begun)
-        elif failure in (Failure.WAITED, Failure.SILENT):
-            self.outage = False
         if beside:
             self.watch_until = min(self.watch_until, begun + TOLD_AFTER)
         elif not ended < self.cut_at < math.inf:  # a move has ended that watch, with the time that it gives
             self.watch_until = -math.inf
 
     def _prove(self, moment: float) -> None:
-        self.proven_until = max(self.proven_until, moment)
+        """What counts as told by then stays told: only a list can bring a lease back that has ended. So a new
+        process has none before its first list, whatever it learns of discovery."""
+        if moment <= self._untold_until:
+            self.proven_until = max(self.proven_until, moment)
 
     def silent(self, now: float) -> None:
         """The watch that is out has said nothing for so long that another call is made beside it."""
@@ -92,4 +86,3 @@
     def cut(self, at: float) -> None:
         """From `at` on changes count as told at once, until the next list: discovery has moved."""
         self.cut_at = min(self.cut_at, at)
-        self.outage = False
