Tests: in-process proxies without discovery hold their list; settings read in the new modules

Change: the node of test_endings.py says that its lists come from the test; the other test reads the new modules too, so it holds for more files than before.

--- a/tests/test_config_file.py
+++ b/tests/test_config_file.py
@@ -250,7 +250,8 @@
 def test_what_the_schema_says_has_no_effect_is_used_nowhere_and_all_else_is() -> None:
     used: dict[str, set[str]] = {"settings": set(), "cls": set(), "t": set()}
     package = ROOT / "granitepoint"
-    for path in [package / "logic.py", *(package / "net").glob("*.py")]:
+    parts = [path for part in ("net", "membership") for path in (package / part).glob("*.py")]
+    for path in [package / "logic.py", package / "admission.py", *parts]:
         for node in ast.walk(ast.parse(path.read_text(encoding="utf-8"))):
             if isinstance(node, ast.Attribute):
                 owner = getattr(node.value, "attr", getattr(node.value, "id", ""))
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -147,6 +147,7 @@
     settings = read_settings(flatten({**SETTINGS, **changes}))
     nowhere = ("127.0.0.1", 9)
     driver = Driver(Config("n0", nowhere, nowhere, 1, 256, 64.0, known, settings))
+    driver.balancer.list_lease.confirmed = True  # there is no discovery here; lists come from the test
     server = Server(driver.effects, driver, 256, 64)
     driver.start()
     port = await server.listen("127.0.0.1", 0)
@@ -231,7 +232,6 @@
                 return await connect(*args)
 
             caller = await here.caller()
-            here.driver.balancer.list_lease.confirmed = True
             here.driver.balancer.health.confirm()  # so that it waits for no health check, slow too
             monkeypatch.setattr(here.driver.upstreams.loop, "create_connection", slow)
             caller.send("canje", FIRST, budget="6000m")
