Accept one connection at a time: those past the bound were reset unread

Cause: net/listener.py accepted up to 64 in one turn of the loop, before what earlier ones ask was read; past the bound on connections none could make room, and the newest were reset with their requests. Change: the next is accepted once the one before is a connection.

--- a/granitepoint/net/listener.py
+++ b/granitepoint/net/listener.py
@@ -17,7 +17,6 @@
 log = Events(__name__)
 
 BACKLOG = 1024  # connections that the kernel holds until they are accepted
-ACCEPTS = 64  # in one turn of the loop at most, so that others have theirs
 ACCEPT_PAUSE = 0.01  # s until accept is called again after it said that this machine lacks something
 # Errors of the connection that was waiting, which is gone with them. All others are of this machine, for a
 # moment: nothing that waits is lost by waiting on.
@@ -68,19 +67,22 @@
             self.socket.close()
 
     def _accept(self) -> None:
-        for _ in range(ACCEPTS):
-            try:
-                accepted, _ = self.socket.accept()
-            except (BlockingIOError, InterruptedError):
-                return
-            except OSError as fault:
-                if fault.errno in OF_THE_PEER:
-                    continue
+        """One in a turn of the loop, and the next once it is a connection: what those before it ask is read
+        and answered meanwhile, so that they can make room. Accepted all at once, those past the bound on
+        connections were reset with their requests unread."""
+        if self.adopting:
+            return
+        try:
+            accepted, _ = self.socket.accept()
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as fault:
+            if fault.errno not in OF_THE_PEER:
                 self._wait(fault)
-                return
-            task = self.loop.create_task(self._adopt(accepted))
-            self.adopting.add(task)
-            task.add_done_callback(self.adopting.discard)
+            return
+        task = self.loop.create_task(self._adopt(accepted))
+        self.adopting.add(task)
+        task.add_done_callback(self.adopting.discard)
 
     def _wait(self, fault: OSError) -> None:
         """Looked at again after a pause: the socket stays readable, and the loop would spin."""
