Split reading lists and the channel to discovery out of discovery.py

No behaviour changes: `net/listing.py` reads what discovery writes, `net/discovery_channel.py` is one connection and what the end of a call on it is evidence of; `net/discovery.py` keeps the watch.

--- a/granitepoint/cli/check.py
+++ b/granitepoint/cli/check.py
@@ -17,7 +17,7 @@
 from granitepoint.benchlink import read_settings
 from granitepoint.cli import schema
 from granitepoint.net.config import flatten, own_address, read_seed
-from granitepoint.net.discovery import read_listing
+from granitepoint.net.listing import read_listing
 from granitepoint.net.logs import chosen
 from granitepoint.net.server import BASE_MEMORY
 
--- a/granitepoint/cli/explain.py
+++ b/granitepoint/cli/explain.py
@@ -14,7 +14,7 @@
 from granitepoint.membership import backoff, list_lease
 from granitepoint.net import discovery, driver, server, upstream
 from granitepoint.net.config import Config, ConfigError
-from granitepoint.net.discovery import read_listing
+from granitepoint.net.listing import read_listing
 
 SECONDS, PER_SECOND = "s", "1/s"
 
--- a/granitepoint/fleet/proxies.py
+++ b/granitepoint/fleet/proxies.py
@@ -15,9 +15,9 @@
 from granitepoint.fleet.measure import Histogram
 from granitepoint.logic import Balancer
 from granitepoint.net.config import Config
-from granitepoint.net.discovery import Listing
 from granitepoint.net.driver import Driver, OpenCall
 from granitepoint.net.listener import Listener
+from granitepoint.net.listing import Listing
 from granitepoint.net.server import ClientConnection, Reply, Request, Server
 from granitepoint.net.upstream import PROVE, SETTLE, Exchange
 
--- a/granitepoint/modelcheck/proxy.py
+++ b/granitepoint/modelcheck/proxy.py
@@ -17,6 +17,7 @@
 from granitepoint.modelcheck.world import RuleBroken
 from granitepoint.net import discovery, driver, server, upstream
 from granitepoint.net.config import Config
+from granitepoint.net.listing import read_listing
 
 NOWHERE = ("10.9.9.9", 9)
 SOON = 0.02  # s
@@ -275,7 +276,7 @@
 
         def hear() -> None:
             self.told = dict(self.states)
-            self.driver._on_list(discovery.read_listing(listing))
+            self.driver._on_list(read_listing(listing))
 
         self.call(hear)
 
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -1,4 +1,4 @@
-"""Discovery: reads lists of backends, and asks for them (fetch) or for what changed (watch)."""
+"""Discovery: asks for lists of backends (fetch) or for what changed (watch)."""
 
 from __future__ import annotations
 
@@ -6,20 +6,18 @@
 import json
 import math
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass
-from hashlib import blake2b
 from random import Random
-from typing import Any, cast
 
-import httptools
-
-from granitepoint.interface import DiscoveryFailed, ServerEntry, ServerState, WatchLost, WatchOpened
+from granitepoint.interface import DiscoveryFailed, WatchLost, WatchOpened
 from granitepoint.membership.backoff import Backoff
-from granitepoint.membership.evidence import Failure, classify
+from granitepoint.membership.evidence import Failure
 from granitepoint.membership.list_lease import CONTINUES, HOLD_TOLD
 from granitepoint.membership.list_lease import TOLD_AFTER as SILENT_TOLD
-from granitepoint.net.config import Address, address
+from granitepoint.net.config import Address
+from granitepoint.net.discovery_channel import Channel, tell_failure
+from granitepoint.net.listing import Listing, read_listing
 from granitepoint.net.logs import Events
 
 log = Events(__name__)
@@ -29,9 +27,7 @@
 CONFIRM_HOLD_MS = 50  # the same until an answer confirms the list: until then nothing may be sent by it
 CONFIRM_WAIT = 3.2  # s after which such a call is silent: in turn and held it takes 2.5 s at most
 PATIENCE = 4.0  # s beyond a call's own wait after which it has failed: calls wait in turn
-CONNECT_TIMEOUT = 1.0  # s
 LEAST_SPACING = 0.05  # s between two watches, should discovery answer each at once
-LARGEST = 8 << 20  # bytes of an answer
 PUSH_PAUSE = 0.15  # s between tries to open a watch on pushed lists, which count as told at once
 PUSH_JITTER = 0.5  # share by which such a pause may be shorter: all that lost one service would ask in step
 HELD_UP = 0.15  # s that an answer may have been on its way, or this process held up, before it is read
@@ -41,143 +37,6 @@
 EARLIER = 0.15  # share by which RENEW and MOVE_AGAIN may be shorter, so that none ask in step
 
 Evidence = WatchLost | WatchOpened | DiscoveryFailed
-STATES = {"Ready": ServerState.SERVING, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
-# Wall less monotonic time, taken once: the same since_ms must give the same figure in every list, or a step
-# of the wall clock would look like a restart of every backend.
-WALL_OFFSET = time.time() - time.monotonic()
-
-
-@dataclass(slots=True)
-class Listed:
-    """A backend as a list names it."""
-
-    address: Address
-    entry: ServerEntry
-
-
-@dataclass(slots=True)
-class Listing:
-    version: int
-    whole: bool
-    backends: list[Listed]
-    written_after: float | None = None  # monotonic, when it was written at the earliest; None: unknown
-    ends_watch: bool = True  # it came on the newest call; otherwise a watch is still out
-
-
-def server_id(name: str) -> int:
-    """The module's number of a backend: the same at every proxy, whose rings of backends must agree."""
-    return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
-
-
-def read_listing(raw: object) -> Listing:
-    """Raises ValueError where the list can't be used."""
-    try:
-        if not isinstance(raw, Mapping):
-            raise ValueError("not an object")
-        return Listing(int(raw["index"]), bool(raw["snapshot"]), [_listed(item) for item in raw["endpoints"]])
-    except (KeyError, TypeError, AttributeError, OverflowError) as fault:
-        raise ValueError(f"malformed list: {fault!r}") from None
-
-
-def _listed(item: Mapping[str, Any]) -> Listed:
-    since_ms = float(item.get("since_ms") or 0)
-    started = max(since_ms / 1000 - WALL_OFFSET, 1e-3) if since_ms > 0 else 0.0
-    entry = ServerEntry(
-        server=server_id(str(item["name"])),
-        zone=str(item.get("zone", "")),
-        kind=str(item.get("type", "")),
-        cell=int(item.get("group", 0)),
-        state=STATES[item["status"]],
-        weight=float(item.get("weight", 1.0)),
-        started_at=started,
-    )
-    if not (entry.weight - entry.weight == 0.0 and started - started == 0.0):
-        raise ValueError("a figure of the list is not finite")
-    return Listed(address(item["address"]), entry)
-
-
-class _Channel(asyncio.Protocol):
-    """One kept connection to discovery, with one call at a time."""
-
-    def __init__(self) -> None:
-        self.transport: asyncio.Transport | None = None
-        self.answer: asyncio.Future[tuple[int, bytes]] | None = None
-        self.parser: Any = None
-        self.body = bytearray()
-        self.raw = 0  # bytes of the answer as they came
-        self.asked = False  # the request of this call was written: what fails now, fails at discovery
-
-    def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        self.transport = cast(asyncio.Transport, transport)  # uvloop's own class
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self.transport = self.parser = None
-        self._fail(ConnectionError("discovery closed the connection"))
-
-    def data_received(self, data: bytes) -> None:
-        self.raw += len(data)
-        try:
-            if self.answer is None or self.answer.done() or self.raw > LARGEST:
-                raise ValueError("more than was asked for")
-            self.parser.feed_data(data)
-        except Exception as fault:  # whatever it is, the stream can't be followed any further
-            self._fail(ValueError(f"malformed answer: {fault}"))
-            self.close()
-
-    def on_body(self, chunk: bytes) -> None:
-        self.body += chunk
-        if len(self.body) > LARGEST:
-            raise ValueError("the answer is too large")
-
-    def on_message_complete(self) -> None:
-        if self.answer is not None and not self.answer.done():
-            self.answer.set_result((self.parser.get_status_code(), bytes(self.body)))
-        if not self.parser.should_keep_alive():
-            self.close()
-
-    def _fail(self, fault: Exception) -> None:
-        if self.answer is not None and not self.answer.done():
-            self.answer.set_exception(fault)
-
-    def close(self) -> None:
-        if self.transport is not None:
-            self.transport.close()
-            self.transport = None
-
-    async def get(self, at: Address, target: str, timeout: float) -> tuple[int, bytes]:
-        loop = asyncio.get_running_loop()
-        self.asked = False
-        try:
-            async with asyncio.timeout(timeout):
-                if self.transport is None:
-                    async with asyncio.timeout(CONNECT_TIMEOUT):
-                        await loop.create_connection(lambda: self, *at)
-                assert self.transport is not None
-                self.parser = httptools.HttpResponseParser(self)
-                self.body.clear()
-                self.raw = 0
-                self.answer = loop.create_future()
-                self.transport.write(f"GET {target} HTTP/1.1\r\nHost: {at[0]}:{at[1]}\r\n\r\n".encode())
-                self.asked = True
-                return await self.answer
-        except BaseException:
-            self.close()
-            raise
-        finally:
-            self.answer = None
-
-
-def tell_failure(fault: Exception, asked: bool, waited: float, continued: bool) -> Failure:
-    """What the end of a call to discovery is evidence of. `asked`: its request had been written."""
-    if isinstance(fault, ConnectionRefusedError):
-        return Failure.REFUSED
-    if isinstance(fault, TimeoutError):
-        return Failure.SILENT
-    if not asked and not isinstance(fault, ConnectionError):
-        return Failure.OWN_FAULT  # no socket, no port, no route: of this machine, and for a moment
-    if isinstance(fault, OSError) and not isinstance(fault, ConnectionError):
-        return Failure.SILENT  # a connection that broke for want of a word from the other side
-    return classify(waited, continued)
 
 
 @dataclass(slots=True)
@@ -215,7 +74,7 @@
         self.confirmed = False  # a list has come since the watch was lost
         self.lists = 0  # taken so far
         self._watch: asyncio.Task[None] | None = None
-        self._asks: dict[asyncio.Task[bool], _Channel] = {}  # of the watch, the one before still among them
+        self._asks: dict[asyncio.Task[bool], Channel] = {}  # of the watch, the one before still among them
         self._fetches: set[asyncio.Task[None]] = set()
 
     def watch(self, on: bool) -> None:
@@ -269,7 +128,7 @@
         missed counts as told. The one before stays until it ends, for it may be the one that is told."""
         loop = asyncio.get_running_loop()
         asks = self._asks
-        channel, tries = _Channel(), 0
+        channel, tries = Channel(), 0
         backoff = Backoff(self.random)
         try:
             while True:
@@ -288,7 +147,7 @@
                 tries = tries + 1 if self.version is None else 0
                 if not newest.done():
                     self._lose(begun + max(SILENT_TOLD, hold + HOLD_TOLD) - loop.time(), silent=True)
-                    channel = _Channel()
+                    channel = Channel()
                     continue
                 del asks[newest]
                 if newest.result():
@@ -319,7 +178,7 @@
         return most * (1 - share * self.random.random())
 
     async def _fetching(self) -> None:
-        channel = _Channel()
+        channel = Channel()
         try:
             ask = Ask(time.monotonic())
             if not await self._ask(channel, "/v1/servers", PATIENCE, ask):
@@ -327,7 +186,7 @@
         finally:
             channel.close()
 
-    async def _ask(self, channel: _Channel, target: str, timeout: float, ask: Ask) -> bool:
+    async def _ask(self, channel: Channel, target: str, timeout: float, ask: Ask) -> bool:
         """Whatever goes wrong ends this call only: a watch that ended untold would never be renewed."""
         lists, held = self.lists, self.version
         try:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -19,7 +19,8 @@
 from granitepoint.logic import Balancer
 from granitepoint.membership.list_lease import TOLD_AFTER
 from granitepoint.net.config import Config, ConfigError
-from granitepoint.net.discovery import Discovery, Listing, read_listing
+from granitepoint.net.discovery import Discovery
+from granitepoint.net.listing import Listing, read_listing
 from granitepoint.net.logs import Events
 from granitepoint.net.server import Headers, Reply, Request
 from granitepoint.net.upstream import (
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -15,7 +15,7 @@
 
 from granitepoint.interface import ServerState, Status
 from granitepoint.net.config import Address
-from granitepoint.net.discovery import Listing
+from granitepoint.net.listing import Listing
 from granitepoint.net.logs import Events
 
 log = Events(__name__)
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -16,8 +16,8 @@
 
 from granitepoint.interface import ServerEntry, ServerState, Status
 from granitepoint.net import upstream as up
-from granitepoint.net.discovery import Listed, Listing
 from granitepoint.net.driver import read_report
+from granitepoint.net.listing import Listed, Listing
 
 OK = b"HTTP/1.1 200 OK\r\n"
 BAD = {
--- a/tests/test_config_file.py
+++ b/tests/test_config_file.py
@@ -24,7 +24,7 @@
 from granitepoint.cli.check import DOUBTFUL, NO_EFFECT, OUT_OF_RANGE, UNKNOWN, read
 from granitepoint.interface import Effect, Settings
 from granitepoint.net.config import Config, ConfigError, load
-from granitepoint.net.discovery import read_listing
+from granitepoint.net.listing import read_listing
 
 MANY = hypothesis_settings(
     max_examples=100, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -29,7 +29,8 @@
 from granitepoint.membership.list_lease import HOLD_TOLD
 from granitepoint.membership.list_lease import TOLD_AFTER as SILENT_TOLD
 from granitepoint.net import discovery as net
-from granitepoint.net.discovery import Listing
+from granitepoint.net.discovery_channel import Channel
+from granitepoint.net.listing import Listing
 
 HERE = "127.0.0.1:9"
 
@@ -484,7 +485,7 @@
             else:
                 one.watch(True)
             if way == "renewing":  # the watch before is still open
-                one._asks[asyncio.ensure_future(one.failed.wait())] = net._Channel()
+                one._asks[asyncio.ensure_future(one.failed.wait())] = Channel()
             waits[one._watch] = one
         async with asyncio.timeout(PATIENCE):
             for one in many:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -32,8 +32,8 @@
 from granitepoint.interface import Effect, Status
 from granitepoint.net import upstream as up
 from granitepoint.net.config import Config, flatten
-from granitepoint.net.discovery import read_listing
 from granitepoint.net.driver import Driver
+from granitepoint.net.listing import read_listing
 from granitepoint.net.server import KEPT, WHOLE, Request, Server
 
 STOCK = b"GET /stock HTTP/1.1\r\nX-Call-Id: %016d\r\nX-Budget: 9000m\r\n\r\n"
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -25,7 +25,7 @@
     TOLD_AFTER,
     ListLease,
 )
-from granitepoint.net.discovery import tell_failure
+from granitepoint.net.discovery_channel import tell_failure
 
 GRACE, HELD_UP = 0.3, 0.15  # s of a drain on sockets; s that a process may stand between clock and write
 HOLD = 25.0
