Ask a new address of discovery for changes, and end the list's lease 4 s after the move

Refusing instead had stopped 22 proxies for 4 s and more, as lists came up to 16 s late. Ruled out: time to read or apply a list (the waits lie in discovery's turns). Change: the new address is asked from the version held. What is relied on: it is the same service. So the last change is asked for once more and has to come back; a lower index or other names bring the whole list at once; where no change was ever told the whole list is asked for later, in time of leisure. The lease ends at 4 s, moves in a row give no more time, and what a list of the new address does not cover counts at 4 s too unless a watch tells it.

--- a/granitepoint/membership/list_lease.py
+++ b/granitepoint/membership/list_lease.py
@@ -16,7 +16,7 @@
 TOLD_AFTER = 6.0  # s after discovery had a change, and could be reached, from which it counts as told
 HOLD_TOLD = 2.0  # s after the end of its hold from which what a silent watch misses counts as told
 CONTINUES = 0.2  # s after an answer within which the next call goes on with the same watch
-MOVE_LONGEST = 20.0  # s after a move for which health checks alone may do
+MOVE_TOLD = 4.0  # s after a move from which all that the new address has counts as told
 SPARE = 0.1  # s of the grace of a drain that may pass between this decision and the first byte
 
 
@@ -31,7 +31,9 @@
         self.proven_until = -math.inf  # no change before it went untold; a new process knows of none
         self.answered_at = -math.inf
         self.watch_until = -math.inf  # what a watch that is out would have missed counts from then
-        self.moved_until = -math.inf  # discovery has moved, and no list of its new address came yet
+        self.moved_told_at = -math.inf  # when what the latest address has counts as told
+        # Until the first list of a new address: until when the list of the old one may be used.
+        self.bridged_until: float | None = None
 
     @property
     def expires_at(self) -> float:
@@ -43,7 +45,12 @@
     @property
     def _untold_until(self) -> float:
         """Up to when no change that this instance missed can count as told."""
-        return max(self.proven_until + self.told_after, self.watch_until, self.moved_until)
+        if self.bridged_until is not None:
+            return self.bridged_until
+        untold_until = self.proven_until + self.told_after
+        if self.proven_until < self.moved_told_at:
+            untold_until = min(untold_until, self.moved_told_at)
+        return max(untold_until, self.watch_until)
 
     def valid(self, now: float) -> bool:
         return now <= self.expires_at
@@ -54,7 +61,7 @@
         self.answered_at = answered_at
         if ends_watch:
             self.watch_until = -math.inf
-        self.moved_until = -math.inf
+        self.bridged_until = None
 
     def watching(self, begun: float, hold: float) -> None:
         """A call is out that discovery holds for up to `hold` s. It counts where it goes on with a watch:
@@ -85,9 +92,8 @@
         self.watch_until = min(self.watch_until, now + TOLD_AFTER)
 
     def move(self, now: float) -> None:
-        """Discovery has another address from `now` on, which all ask at once: most get their list later
-        than changes count as told. Until then health checks alone tell who drains. A server that is gone and
-        passes them is not covered (KNOWN-RED.txt); refusing instead stopped 22 proxies for 4 s and more
-        on a day of rolling releases."""
-        if self.valid(now) and self.moved_until == -math.inf:
-            self.moved_until = now + MOVE_LONGEST
+        """Discovery has another address from `now` on. What the new one has counts as told MOVE_TOLD later,
+        asked or not, and a list of it alone is proof. Moves in a row give no more time."""
+        self.moved_told_at = now + MOVE_TOLD
+        self.bridged_until = min(self._untold_until, self.moved_told_at)
+        self.watch_until = self.answered_at = -math.inf
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -13,8 +13,9 @@
 from granitepoint.interface import DiscoveryFailed, WatchLost, WatchOpened
 from granitepoint.membership.backoff import Backoff
 from granitepoint.membership.evidence import Failure
-from granitepoint.membership.list_lease import CONTINUES, HOLD_TOLD
+from granitepoint.membership.list_lease import CONTINUES, HOLD_TOLD, MOVE_TOLD
 from granitepoint.membership.list_lease import TOLD_AFTER as SILENT_TOLD
+from granitepoint.membership.version_history import VersionHistory
 from granitepoint.net.config import Address
 from granitepoint.net.discovery_channel import Channel, tell_failure
 from granitepoint.net.listing import Listing, read_listing
@@ -31,9 +32,10 @@
 PUSH_PAUSE = 0.15  # s between tries to open a watch on pushed lists, which count as told at once
 PUSH_JITTER = 0.5  # share by which such a pause may be shorter: all that lost one service would ask in step
 HELD_UP = 0.15  # s that an answer may have been on its way, or this process held up, before it is read
-MOVE_TOLD = 4.0  # s after a move from which all that the new address has counts as told
 MOVE_AGAIN = 3.5  # s after which the first list is asked for once more: the call is silent, not in turn
 MOVE_TRIES = 15  # such tries, before the module is told that the call failed
+VERIFY_AFTER = 30.0  # s after a move at which a list that nothing could be compared with is asked for whole
+VERIFY_SPREAD = 90.0  # s over which the proxies do so
 EARLIER = 0.15  # share by which RENEW and MOVE_AGAIN may be shorter, so that none ask in step
 
 Evidence = WatchLost | WatchOpened | DiscoveryFailed
@@ -47,6 +49,8 @@
     begun: float
     hold: float = 0.0
     continued: bool = False
+    since: int | None = None  # the version from which changes were asked for; None: the whole list
+    watch: bool = True  # one of a watch's calls, not a list asked for beside it
 
 
 class Discovery:
@@ -65,7 +69,9 @@
         on_evidence: Callable[[Evidence], None] = lambda evidence: None,
     ) -> None:
         self.at, self.random, self.pushed = at, random, pushed
-        self.version: int | None = version  # None: nothing is known of this server's versions yet
+        self.version: int | None = version  # None: the whole list is to be asked for
+        self.history = VersionHistory(version)
+        self.moving = False  # to another address, of which no list has come yet
         self.on_list, self.on_failed = on_list, on_failed
         self.on_evidence = on_evidence  # told of all that bears on how long the list may be used
         self.failure = Failure.SILENT  # how the last call that failed did so
@@ -76,12 +82,13 @@
         self._watch: asyncio.Task[None] | None = None
         self._asks: dict[asyncio.Task[bool], Channel] = {}  # of the watch, the one before still among them
         self._fetches: set[asyncio.Task[None]] = set()
+        self._verification: asyncio.Task[None] | None = None
 
     def watch(self, on: bool) -> None:
         """A call that is out stays beside the new one: discovery may be writing its answer, which counts as
         told, or may soon come to it, and the new one waits its turn anew. A watch that has no list of its
-        server yet goes on as it is: it asks again by itself, and begun anew it would ask for all twice."""
-        if on and self.version is None and self._watch is not None and not self._watch.done():
+        address yet goes on as it is: it asks again by itself, and begun anew it would ask twice."""
+        if on and self.moving and self._watch is not None and not self._watch.done():
             return
         self.confirmed = False  # asked anew: until the answer comes it is no watch that goes on
         if self._watch is not None:
@@ -93,12 +100,13 @@
             self._watch = asyncio.get_running_loop().create_task(self._watching())
 
     def move(self, at: Address) -> None:
-        """Another server from now on. What the old one may still say is not heard, and its versions tell
-        nothing of the new one's: the whole list comes first, at once, and changes from there."""
+        """Another address of discovery from now on. What the old one may still say is not heard. The new one
+        is asked at once for what has changed: all proxies move together, and whole lists for all of them
+        would take longer than the time in which changes count as told."""
         self.stop()
         self._lose(MOVE_TOLD, moved=True)
-        self.at, self.version = at, None
-        self.answered_at = -math.inf  # the answer was another's
+        self.at, self.moving, self.version = at, True, self.history.version
+        self.answered_at = -math.inf  # the answer was the other address's
         self.watch(True)
 
     def _lose(self, told_within: float = math.inf, moved: bool = False, silent: bool = False) -> None:
@@ -112,10 +120,10 @@
 
     def stop(self) -> None:
         self._end_asks()
-        for task in (self._watch, *self._fetches):
+        for task in (self._watch, self._verification, *self._fetches):
             if task is not None:
                 task.cancel()
-        self._watch = None
+        self._watch = self._verification = None
 
     def _end_asks(self) -> None:
         for ask in self._asks:
@@ -132,19 +140,20 @@
         backoff = Backoff(self.random)
         try:
             while True:
-                begun, first = loop.time(), self.version is None
+                begun, first = loop.time(), self.moving
                 hold = (HOLD_MS if self.confirmed else CONFIRM_HOLD_MS) / 1000
                 silent_after = MOVE_AGAIN if first else RENEW if self.confirmed else CONFIRM_WAIT
-                ask = Ask(time.monotonic(), hold, time.monotonic() - self.answered_at <= CONTINUES)
+                continued = time.monotonic() - self.answered_at <= CONTINUES
+                ask = Ask(time.monotonic(), hold, continued, self._since())
                 self.newest = ask
                 if not first:
                     self.on_evidence(WatchOpened(ask.begun, hold))
-                newest = loop.create_task(self._ask(channel, self._target(hold), hold + PATIENCE, ask))
+                newest = loop.create_task(self._ask(channel, hold + PATIENCE, ask))
                 asks[newest] = channel
                 await asyncio.wait([newest], timeout=self._sooner(silent_after, EARLIER))
                 for older in [older for older in asks if older.done() and older is not newest]:
                     asks.pop(older).close()
-                tries = tries + 1 if self.version is None else 0
+                tries = tries + 1 if self.moving else 0
                 if not newest.done():
                     self._lose(begun + max(SILENT_TOLD, hold + HOLD_TOLD) - loop.time(), silent=True)
                     channel = Channel()
@@ -169,10 +178,9 @@
             if channel not in asks.values():
                 channel.close()
 
-    def _target(self, hold: float) -> str:
-        if self.version is None:
-            return "/v1/servers"
-        return f"/v1/servers?from={self.version}&hold_ms={hold * 1000:.0f}"
+    def _since(self) -> int | None:
+        """The version from which changes are asked for."""
+        return self.history.ask_from if self.moving and self.version is not None else self.version
 
     def _sooner(self, most: float, share: float) -> float:
         return most * (1 - share * self.random.random())
@@ -180,17 +188,27 @@
     async def _fetching(self) -> None:
         channel = Channel()
         try:
-            ask = Ask(time.monotonic())
-            if not await self._ask(channel, "/v1/servers", PATIENCE, ask):
+            if not await self._ask(channel, PATIENCE, Ask(time.monotonic(), watch=False)):
                 self.on_failed()
         finally:
             channel.close()
 
-    async def _ask(self, channel: Channel, target: str, timeout: float, ask: Ask) -> bool:
+    async def _verifying(self) -> None:
+        """Asks for the whole list in time of leisure, until it comes."""
+        listed = False
+        while not listed:
+            await asyncio.sleep(VERIFY_AFTER + VERIFY_SPREAD * self.random.random())
+            channel = Channel()
+            try:
+                listed = await self._ask(channel, PATIENCE, Ask(time.monotonic(), watch=False))
+            finally:
+                channel.close()
+
+    async def _ask(self, channel: Channel, timeout: float, ask: Ask) -> bool:
         """Whatever goes wrong ends this call only: a watch that ended untold would never be renewed."""
         lists, held = self.lists, self.version
         try:
-            code, body = await channel.get(self.at, target, timeout)
+            code, body = await channel.get(self.at, target(ask), timeout)
             if code != 200:
                 raise ValueError(f"status {code}")
             listing = read_listing(json.loads(body))
@@ -199,6 +217,9 @@
             if lists != self.lists and self.version is not None and listing.version < self.version:
                 log.info("list_dropped", version=listing.version, held=self.version, waited_s=waited)
                 return True
+            if self.moving and not self._goes_on(listing):
+                self.version = None
+                return True
             # What goes on with a watch is written when something changes; any other call in its turn.
             listing.written_after = max(ask.begun, now - HELD_UP) if ask.continued else ask.begun
             listing.ends_watch = ask is self.newest
@@ -216,8 +237,36 @@
             "list_taken", version=listing.version, held=held, whole=listing.whole,
             entries=len(listing.backends), answered_bytes=len(body), waited_s=waited,
         )  # fmt: skip
+        self._take(listing, ask, now)
+        return True
+
+    def _goes_on(self, listing: Listing) -> bool:
+        """Whether this first list of a new address can be used with the one that is held."""
+        servers = [listed.entry.server for listed in listing.backends]
+        if listing.whole or self.history.goes_on_with(listing.version, servers):
+            return True
+        log.warning(
+            "discovery_differs", discovery="{}:{}".format(*self.at), version=listing.version,
+            held=self.history.version, effect="the whole list is asked for",
+        )  # fmt: skip
+        return False
+
+    def _take(self, listing: Listing, ask: Ask, now: float) -> None:
         self.lists += 1
-        self.answered_at = now
         self.version = listing.version
-        self.confirmed = True
-        return True
+        if self.moving:
+            self.moving = False
+            if not listing.whole and not self.history.comparable:
+                self._verification = asyncio.get_running_loop().create_task(self._verifying())
+        servers = [listed.entry.server for listed in listing.backends]
+        self.history.told(None if listing.whole else ask.since, listing.version, servers)
+        if ask.watch:
+            self.answered_at = now
+            self.confirmed = True
+
+
+def target(ask: Ask) -> str:
+    """The path and query of a call."""
+    if ask.since is None:
+        return "/v1/servers"
+    return f"/v1/servers?from={ask.since}&hold_ms={ask.hold * 1000:.0f}"
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -33,6 +33,8 @@
 from granitepoint.net.listing import Listing
 
 HERE = "127.0.0.1:9"
+# What a new address is asked where version 1 is held, or the only change that was told began from it.
+FIRST = f"/v1/servers?from=1&hold_ms={net.CONFIRM_HOLD_MS}"
 
 
 class Ask:
@@ -243,12 +245,12 @@
         peer = OnCommand()
         async with peer.client() as client:
             client.move(client.at)
-            silent = await peer.next("/v1/servers")
-            second = await peer.next("/v1/servers")
-            assert "from" not in silent.target + second.target
+            silent = await peer.next(FIRST)
+            second = await peer.next(FIRST)
+            assert silent.connection != second.connection
             monkeypatch.setattr(net, "MOVE_AGAIN", PATIENCE)
             second.answer(9, endpoint("s-1", HERE), snapshot=True)
-            while (await peer.asks.get()).target == "/v1/servers":
+            while (await peer.asks.get()).target == FIRST:
                 pass  # a third may have gone out meanwhile
             assert (await peer.lists.get()).version == 9 and peer.failures == 0
 
@@ -305,10 +307,10 @@
             (await peer.next("/v1/servers?from=1&")).answer(2, endpoint("s-1", HERE, "Terminating"))
             await peer.next("/v1/servers?from=2&")
             assert states(await peer.lists.get()) == ["draining"] and peer.failures == 0
-            client.move(client.at)  # SIGHUP: the whole list, however often that fails
+            client.move(client.at)  # SIGHUP: its first list, however often that fails
             for _ in range(net.MOVE_TRIES + 1):
-                (await peer.next("/v1/servers")).fail()
-            (await peer.next("/v1/servers")).answer(9, snapshot=True)
+                (await peer.next(FIRST)).fail()  # from before the last change
+            (await peer.next(FIRST)).answer(9, snapshot=True)
             await peer.next("/v1/servers?from=9&")
             assert peer.failures == 0
 
@@ -361,8 +363,7 @@
             for round in (1, 2):  # the second move ends a watch that goes on
                 client.move(client.at)
                 client.watch(True)
-                first = await peer.next("/v1/servers")
-                assert first.target == "/v1/servers"
+                first = await peer.next(FIRST if round == 1 else "/v1/servers?from=1&hold_ms=")
                 client.watch(True)
                 first.answer(round, endpoint("s-1", HERE, "Terminating"), snapshot=True)
                 assert states(await peer.lists.get()) == ["draining"]
@@ -386,8 +387,8 @@
             client.move(client.at)
             client.move(client.at)  # the first has not asked yet
             for _ in range(net.MOVE_TRIES + 1):
-                (await peer.next("/v1/servers")).fail()
-            (await peer.next("/v1/servers")).answer(3, snapshot=True)
+                (await peer.next(FIRST)).fail()
+            (await peer.next(FIRST)).answer(3, snapshot=True)
             await peer.next("/v1/servers?from=3&")
 
     run(test())
@@ -438,7 +439,7 @@
             client.watch(True)
             left = await old.next("/v1/servers?from=1&")
             client.move(there.at)
-            asked = await new.next("/v1/servers")
+            asked = await new.next(FIRST)
             left.answer(50, endpoint("s-1", HERE))
             asked.answer(3, endpoint("s-2", HERE), snapshot=True)
             await new.next("/v1/servers?from=3&")
@@ -458,7 +459,7 @@
     def _failed(self) -> None:
         self.failed.set()
 
-    async def _ask(self, channel: Any, target: str, timeout: float, ask: net.Ask) -> bool:
+    async def _ask(self, channel: Any, timeout: float, ask: net.Ask) -> bool:
         self.failure = Failure.WAITED
         if len(self.pauses) >= 10:
             self.failed.set()
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -9,7 +9,7 @@
 
 from granitepoint import Action, Event, ListKind, Probe, Probed, ServerList, Status, WatchLost
 from granitepoint.membership.health_checks import LEASE, LEAST_LEASED, RENEW_AFTER, TOLD_LEASE
-from granitepoint.net.discovery import MOVE_TOLD
+from granitepoint.membership.list_lease import MOVE_TOLD
 
 TOLD_AFTER = 6.0  # s after a change from which it counts as told, answered or not
 CONNECT_TIMEOUT, HELD_UP = 0.25, 0.15  # s that an attempt may take from the decision to its first byte
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -20,7 +20,7 @@
 from granitepoint.membership.list_lease import (
     CONTINUES,
     HOLD_TOLD,
-    MOVE_LONGEST,
+    MOVE_TOLD,
     SPARE,
     TOLD_AFTER,
     ListLease,
@@ -112,18 +112,55 @@
     assert lease.expires_at == 100.0 + HOLD + HOLD_TOLD + SPARE
 
 
-def test_a_move_is_bridged_for_a_while_only_and_by_no_lease_that_has_ended() -> None:
-    """Meanwhile health checks alone tell who drains, with their own bound after 4 s."""
+def test_after_a_move_a_list_is_used_until_what_the_new_address_has_counts_as_told() -> None:
+    """Servers that had left got requests for up to 20 s: health checks alone told who left."""
     lease = leased()
-    lease.move(101.0)
-    lease.move(115.0)  # a second move gives no more time
-    lease.failed(Failure.AT_ONCE, 116.0, 116.0)
-    assert lease.expires_at == 101.0 + MOVE_LONGEST + SPARE
-    lease.listed(118.0, 118.5)
-    assert lease.expires_at == 118.0 + TOLD_AFTER + SPARE
+    lease.watching(100.0, HOLD)
+    lease.move(110.0)
+    assert lease.expires_at == 110.0 + MOVE_TOLD + SPARE
+    for failure in Failure:  # nothing but a list of the new address is proof of what it has
+        lease.failed(failure, 111.0, 113.0)
+    assert lease.expires_at == 110.0 + MOVE_TOLD + SPARE
+    lease.listed(113.5, 113.9)
+    lease.watching(113.9, HOLD)
+    assert lease.expires_at == 113.9 + HOLD + HOLD_TOLD + SPARE
+
+
+def test_moves_in_a_row_give_no_more_time_and_bring_back_no_lease_that_has_ended() -> None:
+    lease = leased()
+    lease.watching(100.0, HOLD)
+    for at in (101.0, 103.0, 104.9):
+        lease.move(at)
+    assert lease.expires_at == 101.0 + MOVE_TOLD + SPARE
     ended = leased()
     ended.move(107.0)
     assert not ended.valid(107.0)
+    soon = leased()
+    soon.move(104.0)  # without a watch, what went untold before the move counts as told when it did
+    assert soon.expires_at == 100.0 + TOLD_AFTER + SPARE
+
+
+def test_a_list_of_the_new_address_covers_what_it_had_then_and_no_more() -> None:
+    """What comes after that counts as told with all else of that address, unless a watch tells it."""
+    lease = leased()
+    lease.move(101.0)
+    lease.listed(101.5, 101.6)
+    assert lease.expires_at == 101.0 + MOVE_TOLD + SPARE
+    lease.watching(101.6, HOLD)
+    assert lease.expires_at == 101.6 + HOLD + HOLD_TOLD + SPARE
+    lease.failed(Failure.WATCH_LOST, 101.6, 104.8)
+    assert lease.expires_at == 101.0 + MOVE_TOLD + SPARE
+    lease.listed(105.0, 105.1)
+    assert lease.expires_at == 105.0 + TOLD_AFTER + SPARE
+
+
+def test_where_lists_are_pushed_a_move_leaves_its_time_too() -> None:
+    lease = ListLease(told_after=0.0)
+    lease.listed(100.0, 100.0)
+    lease.watching(100.0, HOLD)
+    lease.move(105.0)
+    lease.failed(Failure.WAITED, 105.0, 107.0)
+    assert lease.expires_at == 105.0 + MOVE_TOLD + SPARE
 
 
 def test_pushed_lists_are_used_while_the_watch_goes_on_and_not_a_moment_beyond() -> None:
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -7,7 +7,9 @@
 import pytest
 from netkit import PATIENCE, Backend, Discovery, Seen, endpoint, next_call, proxy, run, serve_ok
 
-from granitepoint.net.discovery import HOLD_MS
+from granitepoint.net.discovery import CONFIRM_HOLD_MS, HOLD_MS
+
+FIRST = f"/v1/servers?from=1&hold_ms={CONFIRM_HOLD_MS}"  # what a new address is asked, with version 1 held
 
 
 async def first_asked(discovery: Discovery) -> str:
@@ -15,23 +17,25 @@
         return await discovery.asked.get()
 
 
-def test_a_reload_takes_the_list_of_the_new_address_whole_and_watches_from_there() -> None:
-    """Guards against the variable that overrides the file, and against versions of the old server."""
+def test_a_reload_asks_the_new_address_for_changes_and_takes_a_whole_list_of_it_too() -> None:
+    """Guards against the variable that overrides the file, and against whole lists for all at once."""
 
     async def test() -> None:
         one, two = Backend(), await Backend().start()
         async with proxy({"s-1": one}) as node:
             caller = await node.caller()
             assert (await caller.call("stock", "1" * 16)).code == 200
-            for round, backend in enumerate([two, one, two]):
+            held = 1
+            for round, backend in enumerate([two, one, two], start=2):
                 server = await Discovery().start()
                 server.put(round, endpoint(f"s-{round}", backend.address), snapshot=True)
                 node.reload(discovery=server.address)
-                assert await first_asked(server) == "/v1/servers"
+                assert await first_asked(server) == f"/v1/servers?from={held}&hold_ms={CONFIRM_HOLD_MS}"
                 assert (await first_asked(server)).startswith(f"/v1/servers?from={round}&hold_ms=")
                 before = backend.count
                 assert (await caller.call("canje", f"{round:016x}")).code == 200
                 assert backend.count == before + 1
+                held = round
         await two.stop()
 
     run(test())
@@ -49,7 +53,7 @@
             new.put(9, endpoint("s-2", two.address), snapshot=True)
             begun = asyncio.get_running_loop().time()
             node.reload(discovery=new.address)
-            assert await first_asked(new) == await first_asked(new) == "/v1/servers"
+            assert await first_asked(new) == await first_asked(new) == FIRST
             assert "from=9" in await first_asked(new)
             assert asyncio.get_running_loop().time() - begun < 2.0
             assert (await (await node.caller()).call("canje", "1" * 16)).code == 200
@@ -99,7 +103,7 @@
             node.terminate()
             assert await idle.ended()
             node.reload(discovery=new.address)
-            assert await first_asked(new) == "/v1/servers"
+            assert await first_asked(new) == FIRST
             free.set()
             assert (await caller.answer()).code == 200
             assert await node.code() == 0
