Hold a call's group by what its server was when the attempt was sent

What could happen: a list that names a server in another zone or cell, after an attempt on it that may have run, let a keyed call be sent again to the new group, where no copy is known: run twice. Cause: `same_group` compared the server's present zone. Change: an attempt remembers zone and cell. The new test fails without it for both groups.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -115,12 +115,13 @@
 # -- obligations -----------------------------------------------------------------------------------------
 class Attempt:
     __slots__ = (
-        "blamed", "call", "counted", "idle", "late", "load", "lost", "number", "opened", "rescued",
-        "sent_at", "server", "status",
+        "blamed", "call", "cell", "counted", "idle", "late", "load", "lost", "number", "opened", "rescued",
+        "sent_at", "server", "status", "zone",
     )
 
     def __init__(self, call: Call, number: int, server: Server, sent_at: float, load: float) -> None:
         self.call, self.number, self.server, self.sent_at, self.load = call, number, server, sent_at, load
+        self.zone, self.cell = server.zone, server.cell  # a list may tell others of its server later
         self.status = -1  # still out
         self.counted = True  # takes a place in W
         self.late = False  # has been counted as late
@@ -199,7 +200,7 @@
         first = self.may_have_run(call)
         if first is None or call.cls.effect is Effect.REPEATABLE:
             return True
-        return self.same_group(call.cls, first.server, server) and self.within(call, now) > 0
+        return self.same_group(call.cls, first, server) and self.within(call, now) > 0
 
     def within(self, call: Call, now: float) -> float:
         """Time left in which a further attempt is dropped by the group of one that may have run. It counts
@@ -210,12 +211,13 @@
         return first.sent_at + call.cls.window - now
 
     @staticmethod
-    def same_group(cls: Kind, one: Server, other: Server) -> bool:
+    def same_group(cls: Kind, attempt: Attempt, server: Server) -> bool:
+        """Whether a server belongs to the group that drops copies of an attempt."""
         if cls.group == "all":
             return True
         if cls.group == "zone":
-            return one.zone == other.zone
-        return one.zone == other.zone and one.cell == other.cell
+            return attempt.zone == server.zone
+        return attempt.zone == server.zone and attempt.cell == server.cell
 
     def may_refuse(self, call: Call) -> bool:
         effect = call.cls.effect
--- a/tests/test_obligations.py
+++ b/tests/test_obligations.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from itertools import pairwise
 
 import pytest
@@ -261,3 +262,19 @@
             driver.feed(ServerList(ListKind.FAILED))
     gaps = [later - earlier for earlier, later in pairwise([100.0, *asked])]
     assert gaps[0] <= 4.0 and max(gaps) <= 0.5 + 4 * 4.0 + 0.1
+
+
+@pytest.mark.parametrize("group", ["zone", "cell"])
+def test_the_group_of_an_attempt_is_that_of_its_server_when_it_was_sent(group: str) -> None:
+    """A list that names the server in another zone or cell later moves no copy that may have run there."""
+    kind = Kind(replace(next(c for c in CLASSES if c.name == "zoned"), group=group), 0)
+    gate = Obligations(settings(), [])
+    call = Call(7, kind, 1.0, 100.0, 102.0, 101.0)
+    gate.calls[7] = call
+    first = server(1, zone="a")
+    attempt = gate.send(call, first, 100.0, 1.0, 0.0)
+    assert attempt is not None
+    gate.settle(attempt, Status.RESET, False)
+    first.zone, first.cell = "b", 1
+    assert not gate.may_send(call, server(2, zone="b", cell=1), 100.1)
+    assert gate.may_send(call, server(2, zone="a"), 100.1)
