Call a lost discovery in rounds, each proxy at its own place, so that a return tells all

Callers saw: after discovery's return some seconds in which proxies still refused, and after long outages many more. Cause: pauses after calls that waited grew by a fifth with each failure, to 40 s, and were drawn anew each time. Turned away at once, a proxy that had waited long waited ever longer. Change: rounds of 4 s counted from the loss, or as long as discovery needs for all where the least turn of an answer and the fleet's size say more; each instance calls at its own place in them; they grow from the third failure on, and no further than 2.5 times where a turn is known. Those turned away ask again within 0.5 to 1 s at first. Relies on: a common moment of the loss (a drawn part keeps those apart that have one number); a turn that is known from answers (rounds grow where none is).

--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -217,6 +217,7 @@
     written_after: float | None = None  # when it was written at the earliest; None: just now
     ends_watch: bool = True  # it came on the newest call; otherwise a watch is still out
     failure: Failure | None = None  # of FAILED; None: to be told from the time that the call took
+    turn: float | None = None  # s that a call for this list took without its hold; None: not known
 
 
 @dataclass(slots=True)
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -109,6 +109,7 @@
 FAILED_ASK = 4.0  # times the settings' time for asking that a proxy whose call failed may wait
 ADVICE = 0.25  # procQ that a refused client is told to stay away
 TICK_TOKEN, ASK_TOKEN = 1, 2
+GOLDEN = 0.6180339887498949  # its multiples lie evenly between 0 and 1, however many there are
 MOST_LATENCIES = 8.0  # mean latencies that a failed attempt counts as at most
 
 
@@ -378,7 +379,7 @@
             server = self.known[id]
             if server.state is ServerState.SERVING:
                 zones.setdefault(server.zone, []).append(server)
-        place = self.settings.me * 0.6180339887498949 % 1.0
+        place = self.settings.me * GOLDEN % 1.0
         pool: list[Server] = []
         others: list[list[Server]] = []
         for zone in sorted(zones):
@@ -617,8 +618,11 @@
         self.timer_set = False
         self.watching = not settings.ask_for_list
         self.watch_at = -1.0
-        self.asked_at = 0.0  # the start of the last watch
-        self.backoff = Backoff(self.random, min(LONGEST_PAUSE, FAILED_ASK * settings.must_ask_within))
+        self.asked_at = 0.0  # the begin of the last call of a watch, as far as known
+        longest_pause = min(LONGEST_PAUSE, FAILED_ASK * settings.must_ask_within)
+        instances = settings.balancers * settings.stages
+        place = (settings.me + settings.stage / settings.stages) * GOLDEN % 1.0
+        self.backoff = Backoff(self.random, longest_pause, instances, place)
         self.told_at = 0.0  # the last list, or the start of a watch
         self.doubt_at = math.inf  # when to ask although a watch is on
 
@@ -644,6 +648,7 @@
             elif type(event) is WatchOpened:
                 self.list_lease.watching(event.begun, event.hold)
             elif type(event) is DiscoveryFailed:
+                self.asked_at = event.begun
                 self.list_lease.failed(event.failure, event.begun, event.ended, event.beside)
             elif type(event) is ClosedAtRest:
                 self.servers.doubt_rest(event.rested)
@@ -689,13 +694,13 @@
             self.watching = False
             waited = self.now - self.asked_at
             failure = event.failure or (Failure.AT_ONCE if waited <= AT_ONCE else Failure.WAITED)
-            self.watch_at = self.now + self.backoff.failed(failure)
+            self.watch_at = self.now + self.backoff.failed(failure, self.now)
         else:
             if event.kind is not ListKind.SAVED:
                 self.health.confirm()
                 written_after = self.now if event.written_after is None else event.written_after
                 self.list_lease.listed(written_after, self.now, event.ends_watch)
-                self.backoff.succeeded()
+                self.backoff.succeeded(event.turn)
                 self.told_at, self.doubt_at = self.now, math.inf
             self.servers.take_list(event, self.now)
             self.admission.set_least(len(self.servers.known), self.settings.balancers)
--- a/granitepoint/membership/backoff.py
+++ b/granitepoint/membership/backoff.py
@@ -1,20 +1,28 @@
 """The pause after a failed call to a service that many ask at once, by what the failure is evidence of.
 
-Where calls waited in turn, all together come faster than they can be answered: pauses grow with each failure
-in a row, and are drawn from a wide span, for all that failed together would else come together again. That
-guards against congestion collapse: a service that works on calls that nobody waits for any more. Where nobody
-listens a call costs the service nothing, and each is proof that it is away: pauses stay short against
-the time that a list may be used after such a proof. Harm: one that asks alone waits longer than it needs to.
+Where calls waited in turn, all together may come faster than they can be answered. So they are spread over
+a round: the time in which the service answers every instance once, as far as an instance can tell from the
+least time that an answer to it took. All that lose the service at one moment count their rounds from there,
+and each calls at its own place in them, so that calls come evenly at whatever moment it returns. After some
+failures in a row rounds grow, which guards against congestion collapse (a service that works on calls that
+nobody waits for any more) where nothing was measured, or too little. They do not grow far where a measure
+is known: the service may only be away, and all have to be told soon after its return. Where nobody listens
+a call costs the service nothing, and each is proof that it is away: pauses stay short against the time that
+a list may be used after such a proof.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 from random import Random
 
 from granitepoint.membership.evidence import Failure
 
 LONGEST_PAUSE = 60.0  # s
+SHORTEST_ROUND = 4.0  # s between the begins of two calls that waited
+STEADY_ROUNDS = 2  # failures in a row before rounds grow
+MEASURED_GROWTH = 2.5  # by which a round grows at most where the time of a turn is known
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,13 +30,14 @@
     """The pause after one kind of failure, in seconds."""
 
     first: float
-    growth: float  # by which each failure in a row makes it longer
+    growth: float  # by which each failure in a row makes it longer, of rounds each one after the first few
     longest: float
     least_share: float  # of it that chance leaves at least
+    in_rounds: bool = False  # until the instance's place in a round that is this long at least
 
 
-CROWDED = Pause(first=4.0, growth=1.2, longest=LONGEST_PAUSE, least_share=0.1)
-TURNED_AWAY = Pause(first=1.5, growth=1.3, longest=4.0, least_share=0.2)
+CROWDED = Pause(first=SHORTEST_ROUND, growth=1.3, longest=LONGEST_PAUSE, least_share=0.0, in_rounds=True)
+TURNED_AWAY = Pause(first=1.0, growth=1.1, longest=2.0, least_share=0.5)
 AWAY = Pause(first=1.0, growth=1.0, longest=1.0, least_share=0.5)
 BROKEN = Pause(first=1.0, growth=1.0, longest=1.0, least_share=0.1)
 PAUSES = {
@@ -45,15 +54,54 @@
 class Backoff:
     """How long to wait after each failure in a row, in seconds."""
 
-    def __init__(self, random: Random, longest: float = LONGEST_PAUSE) -> None:
-        self.random, self.longest = random, longest
+    def __init__(
+        self, random: Random, longest: float = LONGEST_PAUSE, instances: int = 1, place: float = 0.0
+    ) -> None:
+        """`instances`: how many ask the same service. `place`: of this one among them, from 0 to 1; it is
+        anywhere in the part of a round that it has for itself, lest two of one number call in step."""
+        self.random, self.longest, self.instances = random, longest, instances
+        self.place = (place + random.random() / instances) % 1.0
         self.failures = 0  # in a row, of calls that discovery took
+        self.round_from: float | None = None  # the begin of the present round; the first is at the loss
+        self.round_length = 0.0
+        self.least_turn = math.inf  # s, the shortest that an answer took
 
-    def succeeded(self) -> None:
+    @property
+    def round(self) -> float:
+        """The time in which every instance may call once, in seconds."""
+        known = self.least_turn if self.measured else 0.0
+        return max(SHORTEST_ROUND, known * self.instances)
+
+    @property
+    def measured(self) -> bool:
+        return self.least_turn < math.inf
+
+    def succeeded(self, turn: float | None = None) -> None:
+        """`turn`: s that the answer took, without what the service was asked to wait; None: not known."""
         self.failures = 0
+        self.round_from = None
+        if turn is not None:
+            self.least_turn = min(self.least_turn, max(0.0, turn))
 
-    def failed(self, failure: Failure) -> float:
+    def failed(self, failure: Failure, now: float) -> float:
+        """The pause from now on."""
         kind = PAUSES[failure]
-        pause = min(self.longest, kind.longest, kind.first * kind.growth ** min(self.failures, 50))
+        if self.round_from is None:
+            self.round_from, self.round_length = now, 0.0
+        steady = STEADY_ROUNDS if kind.in_rounds else 0
+        stretch = kind.growth ** min(max(0, self.failures - steady), 50)
         self.failures += kind.growth > 1
-        return pause * (kind.least_share + (1 - kind.least_share) * self.random.random())
+        if kind.in_rounds:
+            return self._until_own_place(now, min(kind.longest, self.longest), stretch)
+        drawn = kind.least_share + (1 - kind.least_share) * self.random.random()
+        return min(self.longest, kind.longest, kind.first * stretch) * drawn
+
+    def _until_own_place(self, now: float, longest: float, stretch: float) -> float:
+        """The time to this instance's next place, where further rounds are `stretch` times the usual."""
+        assert self.round_from is not None
+        length = min(longest, self.round * (min(stretch, MEASURED_GROWTH) if self.measured else stretch))
+        self.round_length = self.round_length or length
+        while self.round_from + self.place * self.round_length <= now:
+            self.round_from += self.round_length
+            self.round_length = length
+        return self.round_from + self.place * self.round_length - now
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -67,6 +67,7 @@
         random: Random,
         pushed: bool = False,
         on_evidence: Callable[[Evidence], None] = lambda evidence: None,
+        instances: int = 1,
     ) -> None:
         self.at, self.random, self.pushed = at, random, pushed
         self.version: int | None = version  # None: the whole list is to be asked for
@@ -74,6 +75,8 @@
         self.moving = False  # to another address, of which no list has come yet
         self.on_list, self.on_failed = on_list, on_failed
         self.on_evidence = on_evidence  # told of all that bears on how long the list may be used
+        # Of the calls that are made again from here, on a watch or at a new address.
+        self.backoff = Backoff(random, instances=instances, place=random.random())
         self.failure = Failure.SILENT  # how the last call that failed did so
         self.answered_at = -math.inf  # monotonic, of the last answer with a list
         self.newest: Ask | None = None  # the last call of a watch
@@ -137,7 +140,6 @@
         loop = asyncio.get_running_loop()
         asks = self._asks
         channel, tries = Channel(), 0
-        backoff = Backoff(self.random)
         try:
             while True:
                 begun, first = loop.time(), self.moving
@@ -160,7 +162,6 @@
                     continue
                 del asks[newest]
                 if newest.result():
-                    backoff.succeeded()
                     await asyncio.sleep(max(0.0, begun + LEAST_SPACING - loop.time()))
                     continue
                 self._lose()
@@ -169,7 +170,7 @@
                 if self.pushed:
                     await asyncio.sleep(self._sooner(PUSH_PAUSE, PUSH_JITTER))
                 elif asks or (first and tries < MOVE_TRIES):
-                    await asyncio.sleep(backoff.failed(self.failure))
+                    await asyncio.sleep(self.backoff.failed(self.failure, ended))
                 else:
                     self._watch = None  # over, for whom it tells
                     self.on_failed()
@@ -223,6 +224,7 @@
             # What goes on with a watch is written when something changes; any other call in its turn.
             listing.written_after = max(ask.begun, now - HELD_UP) if ask.continued else ask.begun
             listing.ends_watch = ask is self.newest
+            listing.turn = self._turn(listing, ask, waited)
             self.on_list(listing)
         except Exception as fault:
             told = str(fault) or type(fault).__name__
@@ -251,9 +253,17 @@
         )  # fmt: skip
         return False
 
+    def _turn(self, listing: Listing, ask: Ask, waited: float) -> float | None:
+        """How long discovery took over a call, as far as it can be told from its hold."""
+        if ask.continued:
+            return None
+        unchanged = ask.since is not None and not listing.backends
+        return waited - ask.hold if unchanged else waited
+
     def _take(self, listing: Listing, ask: Ask, now: float) -> None:
         self.lists += 1
         self.version = listing.version
+        self.backoff.succeeded(listing.turn)
         if self.moving:
             self.moving = False
             if not listing.whole and not self.history.comparable:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -137,6 +137,7 @@
             Random(f"discovery {config.seed}"),  # not the module's own numbers once more
             pushed=not self.settings.ask_for_list,
             on_evidence=self._push,
+            instances=self.settings.balancers * self.settings.stages,
         )
         self.started_at = time.monotonic()
         self.was_ready = False
@@ -238,7 +239,9 @@
     @staticmethod
     def _server_list(listing: Listing, kind: api.ListKind) -> api.ServerList:
         entries = [listed.entry for listed in listing.backends]
-        return api.ServerList(kind, entries, listing.version, listing.written_after, listing.ends_watch)
+        return api.ServerList(
+            kind, entries, listing.version, listing.written_after, listing.ends_watch, turn=listing.turn
+        )
 
     def _on_list(self, listing: Listing) -> None:
         if self.tracing:
--- a/granitepoint/net/listing.py
+++ b/granitepoint/net/listing.py
@@ -32,6 +32,7 @@
     backends: list[Listed]
     written_after: float | None = None  # monotonic, when it was written at the earliest; None: unknown
     ends_watch: bool = True  # it came on the newest call; otherwise a watch is still out
+    turn: float | None = None  # s that the call took without its hold; None: it went on with a watch
 
 
 def server_id(name: str) -> int:
