Bound how far rounds of calls grow by what discovery needs, not how long they are

Seen in a simulated fleet of 3 whose first answers had waited in turn: the least time of an answer, taken for a turn, made rounds of 5 s and more where 4 s would do; with 200 proxies they would have been minutes. Cause: `Backoff.round` took an upper bound of a turn for the turn. Change: rounds begin at 4 s whatever was measured; the measure bounds their growth alone (twice what all need, 8 s at least; 40 s where nothing was answered without a wait, as before).

--- a/granitepoint/membership/backoff.py
+++ b/granitepoint/membership/backoff.py
@@ -1,14 +1,13 @@
 """The pause after a failed call to a service that many ask at once, by what the failure is evidence of.
 
 Where calls waited in turn, all together may come faster than they can be answered. So they are spread over
-a round: the time in which the service answers every instance once, as far as an instance can tell from the
-least time that an answer to it took. All that lose the service at one moment count their rounds from there,
-and each calls at its own place in them, so that calls come evenly at whatever moment it returns. After some
-failures in a row rounds grow, which guards against congestion collapse (a service that works on calls that
-nobody waits for any more) where nothing was measured, or too little. They do not grow far where a measure
-is known: the service may only be away, and all have to be told soon after its return. Where nobody listens
-a call costs the service nothing, and each is proof that it is away: pauses stay short against the time that
-a list may be used after such a proof.
+rounds. All that lose the service at one moment count their rounds from there, and each calls at its own
+place in them, so that calls come evenly at whatever moment it returns. After some failures in a row rounds
+grow, which guards against congestion collapse (a service that works on calls that nobody waits for any
+more). They grow no further than the service needs to answer every instance, as far as that can be told from
+the least time that an answer took: it may only be away, and all have to be told soon after its return.
+Where nobody listens a call costs the service nothing, and each is proof that it is away: pauses stay short
+against the time that a list may be used after such a proof.
 """
 
 from __future__ import annotations
@@ -22,7 +21,8 @@
 LONGEST_PAUSE = 60.0  # s
 SHORTEST_ROUND = 4.0  # s between the begins of two calls that waited
 STEADY_ROUNDS = 2  # failures in a row before rounds grow
-MEASURED_GROWTH = 2.5  # by which a round grows at most where the time of a turn is known
+LONGEST_ROUND = 8.0  # s to which rounds grow at least
+MEASURED_GROWTH = 2.0  # times what discovery needs for all, to which rounds grow at most where that is known
 
 
 @dataclass(frozen=True, slots=True)
@@ -67,14 +67,11 @@
         self.least_turn = math.inf  # s, the shortest that an answer took
 
     @property
-    def round(self) -> float:
-        """The time in which every instance may call once, in seconds."""
-        known = self.least_turn if self.measured else 0.0
-        return max(SHORTEST_ROUND, known * self.instances)
-
-    @property
-    def measured(self) -> bool:
-        return self.least_turn < math.inf
+    def longest_round(self) -> float:
+        """To which rounds may grow, in seconds. The least time of an answer is at least that of a turn, and
+        more where each call had to wait: rounds may be longer than they need to be, and not shorter."""
+        for_all = MEASURED_GROWTH * self.least_turn * self.instances
+        return min(self.longest, max(LONGEST_ROUND, for_all))
 
     def succeeded(self, turn: float | None = None) -> None:
         """`turn`: s that the answer took, without what the service was asked to wait; None: not known."""
@@ -92,14 +89,13 @@
         stretch = kind.growth ** min(max(0, self.failures - steady), 50)
         self.failures += kind.growth > 1
         if kind.in_rounds:
-            return self._until_own_place(now, min(kind.longest, self.longest), stretch)
+            return self._until_own_place(now, min(kind.first * stretch, self.longest_round))
         drawn = kind.least_share + (1 - kind.least_share) * self.random.random()
         return min(self.longest, kind.longest, kind.first * stretch) * drawn
 
-    def _until_own_place(self, now: float, longest: float, stretch: float) -> float:
-        """The time to this instance's next place, where further rounds are `stretch` times the usual."""
+    def _until_own_place(self, now: float, length: float) -> float:
+        """The time to this instance's next place, where further rounds have that length."""
         assert self.round_from is not None
-        length = min(longest, self.round * (min(stretch, MEASURED_GROWTH) if self.measured else stretch))
         self.round_length = self.round_length or length
         while self.round_from + self.place * self.round_length <= now:
             self.round_from += self.round_length
