--- a/granitepoint/membership/backoff.py
+++ b/granitepoint/membership/backoff.py
@@ -36,7 +36,7 @@
     in_rounds: bool = False  # until the instance's place in a round that is this long at least
 
 
-CROWDED = Pause(first=SHORTEST_ROUND, growth=1.3, longest=LONGEST_PAUSE, least_share=0.0, in_rounds=True)
+CROWDED = Pause(first=SHORTEST_ROUND, growth=1.15, longest=LONGEST_PAUSE, least_share=0.0, in_rounds=True)
 TURNED_AWAY = Pause(first=1.0, growth=1.1, longest=2.0, least_share=0.5)
 AWAY = Pause(first=1.0, growth=1.0, longest=1.0, least_share=0.5)
 BROKEN = Pause(first=1.0, growth=1.0, longest=1.0, least_share=0.1)
