Place starts of servers by what lists name, not by this machine's wall clock

What could happen: a proxy started on a machine whose clock had been stepped took cold servers for warm ones. Cause: `WALL_OFFSET`, the wall clock less the monotonic one when the program was loaded. Change: `StartTimes`. A server is listed after its start, so the other clock is at least as far on as the newest start named; starts lie at their distance from it. Never earlier than the truth, late by the least age seen of a start. Relied on: one clock for all servers; broken in a test, where a start that is news is taken for just now.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -15,6 +15,7 @@
 from granitepoint.membership.evidence import AT_ONCE, Failure
 from granitepoint.membership.list_lease import CONTINUES, HOLD_TOLD, MOVE_TOLD
 from granitepoint.membership.list_lease import TOLD_AFTER as SILENT_TOLD
+from granitepoint.membership.start_times import StartTimes
 from granitepoint.membership.version_history import VersionHistory
 from granitepoint.net.config import Address
 from granitepoint.net.discovery_channel import Channel, tell_failure
@@ -69,10 +70,12 @@
         pushed: bool = False,
         on_evidence: Callable[[Evidence], None] = lambda evidence: None,
         instances: int = 1,
+        starts: StartTimes | None = None,
     ) -> None:
         self.at, self.random, self.pushed = at, random, pushed
         self.version: int | None = version  # None: the whole list is to be asked for
         self.history = VersionHistory(version)
+        self.starts = starts or StartTimes()
         self.moving = False  # to another address, of which no list has come yet
         self.on_list, self.on_failed = on_list, on_failed
         self.on_evidence = on_evidence  # told of all that bears on how long the list may be used
@@ -214,7 +217,7 @@
             code, body = await channel.get(self.at, target(ask), timeout)
             if code != 200:
                 raise ValueError(f"status {code}")
-            listing = read_listing(json.loads(body))
+            listing = read_listing(json.loads(body), self.starts)
             now = time.monotonic()
             waited = now - ask.begun
             if lists != self.lists and self.version is not None and listing.version < self.version:
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -18,6 +18,7 @@
 from granitepoint import interface as api
 from granitepoint.logic import Balancer
 from granitepoint.membership.list_lease import TOLD_AFTER
+from granitepoint.membership.start_times import StartTimes
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import Discovery
 from granitepoint.net.listing import Listing, read_listing
@@ -125,8 +126,9 @@
             api.Log: lambda action: log.info("module", text=action.text),
             api.Tell: lambda action: None,  # there is no talk between proxies
         }
+        starts = StartTimes()
         try:
-            known = read_listing(config.known) if config.known else Listing(0, True, [])
+            known = read_listing(config.known, starts) if config.known else Listing(0, True, [])
         except ValueError as fault:
             raise ConfigError(f"bad configuration: known: {fault}") from None
         self.discovery = Discovery(
@@ -138,6 +140,7 @@
             pushed=not self.settings.ask_for_list,
             on_evidence=self._push,
             instances=self.settings.balancers * self.settings.stages,
+            starts=starts,
         )
         self.started_at = time.monotonic()
         self.was_ready = False
--- a/granitepoint/net/listing.py
+++ b/granitepoint/net/listing.py
@@ -2,19 +2,20 @@
 
 from __future__ import annotations
 
+import math
 import time
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from dataclasses import dataclass
 from hashlib import blake2b
 from typing import Any
 
 from granitepoint.interface import ServerEntry, ServerState
+from granitepoint.membership.start_times import StartTimes
 from granitepoint.net.config import Address, address
 
+MS = 1000  # of a second
+
 STATES = {"Ready": ServerState.SERVING, "Terminating": ServerState.DRAINING, "Gone": ServerState.GONE}
-# Wall less monotonic time, taken once: the same since_ms must give the same figure in every list, or a step
-# of the wall clock would look like a restart of every backend.
-WALL_OFFSET = time.time() - time.monotonic()
 
 
 @dataclass(slots=True)
@@ -40,19 +41,34 @@
     return int.from_bytes(blake2b(name.encode(), digest_size=6).digest(), "big")
 
 
-def read_listing(raw: object) -> Listing:
-    """Raises ValueError where the list can't be used."""
+def read_listing(raw: object, starts: StartTimes | None = None) -> Listing:
+    """`starts`: the starts that earlier lists have named. Raises ValueError where the list can't be used."""
     try:
         if not isinstance(raw, Mapping):
             raise ValueError("not an object")
-        return Listing(int(raw["index"]), bool(raw["snapshot"]), [_listed(item) for item in raw["endpoints"]])
+        items = list(raw["endpoints"])
+        listing = Listing(int(raw["index"]), bool(raw["snapshot"]), [_listed(item) for item in items])
+        named = [(str(item["name"]), float(item.get("since_ms") or 0) / MS) for item in items]
+        if not all(math.isfinite(start) for _, start in named):
+            raise ValueError("a start of the list is not finite")
     except (KeyError, TypeError, AttributeError, OverflowError) as fault:
         raise ValueError(f"malformed list: {fault!r}") from None
+    _tell_starts(listing, named, starts or StartTimes())
+    return listing
+
+
+def _tell_starts(listing: Listing, named: Sequence[tuple[str, float]], starts: StartTimes) -> None:
+    """When each server was started, on this process's clock."""
+    started = starts.listed(dict(named), time.monotonic())
+    for (name, _), listed in zip(named, listing.backends, strict=True):
+        listed.entry.started_at = started[name]
+        if listed.entry.state is ServerState.GONE:
+            starts.forget(name)
+    if listing.whole:
+        starts.keep(set(started))
 
 
 def _listed(item: Mapping[str, Any]) -> Listed:
-    since_ms = float(item.get("since_ms") or 0)
-    started = max(since_ms / 1000 - WALL_OFFSET, 1e-3) if since_ms > 0 else 0.0
     entry = ServerEntry(
         server=server_id(str(item["name"])),
         zone=str(item.get("zone", "")),
@@ -60,8 +76,7 @@
         cell=int(item.get("group", 0)),
         state=STATES[item["status"]],
         weight=float(item.get("weight", 1.0)),
-        started_at=started,
     )
-    if not (entry.weight - entry.weight == 0.0 and started - started == 0.0):
+    if not math.isfinite(entry.weight):
         raise ValueError("a figure of the list is not finite")
     return Listed(address(item["address"]), entry)
