--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -32,8 +32,8 @@
 
 
 def test_an_outage_twice_as_long_as_usual_leaves_most_of_a_day() -> None:
-    """Nothing proves that discovery is away where it takes calls and fails them late, so proxies refuse from 6 s
-    on. Of 50 s with an outage of 16 s at least three fifths are left to each."""
+    """Nothing proves that discovery is away where it takes calls and fails them late, so proxies refuse from
+    6 s on. Of 50 s with an outage of 16 s at least three fifths are left to each."""
     told = play(Day(20, round=5.0, end=60.0, down=(12.0, 28.0)))
     assert told.without_list < 0.4 * 20 * 50.0
     assert told.last_wait < 5.0 + QUEUE and told.never == 0
