Two known failures: the gate in very long outages, one server's stepped clock

An outage of 32 s in 50 s that fails calls late leaves proxies without a list for over half of it, as nothing proves that discovery is away. A server whose own clock is an hour ahead, in a process's first list, makes cold ones seem warm.

--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -108,3 +108,9 @@
     assert sorted(starts.starts) == ["s-1", "s-2"]
     read_listing(listing(3, endpoint("s-2", "127.0.0.1:1", since_ms=1.7e12 + 2), snapshot=True), starts)
     assert sorted(starts.starts) == ["s-2"]
+
+
+def test_a_server_whose_own_clock_was_stepped_makes_no_other_of_the_first_list_seem_older() -> None:
+    """Taken for warm, a cold server gets more than slow start allows."""
+    found = StartTimes().listed({"odd": OTHER_CLOCK + 99.0 + 3600.0, "b": OTHER_CLOCK + 99.0}, 100.0)
+    assert found["b"] >= 99.0
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -37,3 +37,9 @@
     told = play(Day(20, round=5.0, end=60.0, down=(12.0, 28.0)))
     assert told.without_list < 0.4 * 20 * 50.0
     assert told.last_wait < 5.0 + QUEUE and told.never == 0
+
+
+def test_a_day_of_which_most_is_an_outage_is_served_for_half_of_it() -> None:
+    """The gate wants half of what is served otherwise, however long discovery fails calls late."""
+    told = play(Day(9, round=5.0, end=60.0, down=(12.0, 44.0)))
+    assert told.without_list < 0.5 * 9 * 50.0
