--- a/review/standins.py
+++ b/review/standins.py
@@ -222,6 +222,7 @@
 
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
+        self.first_byte_at = 0.0  # of the latest request
 
     def answer(self, code: int, body: bytes = b"", *headers: str) -> bytes:
         """Writes an answer with its length, and returns its bytes."""
@@ -274,7 +275,10 @@
         self.peers.add(peer)
         try:
             while True:
+                first = await reader.readexactly(1)
+                peer.first_byte_at = time.monotonic()
                 start_line, headers = await read_head(reader)
+                start_line = first.decode("latin-1") + start_line
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 await self.handler(peer, start_line.split(" ")[1], headers, body)
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
@@ -327,6 +331,10 @@
         while since is not None and since >= self.version and time.monotonic() < until:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.changed.wait(), until - time.monotonic())
+        await self.answer_call(peer, since)
+
+    async def answer_call(self, peer: Peer, since: int | None) -> None:
+        """Writes the list, or the changes since a version."""
         peer.answer(200, json.dumps(self.document(since)).encode())
         self.record.write("list_written", since=since, version=self.version)
 
