--- a/review/standins.py
+++ b/review/standins.py
@@ -168,7 +168,12 @@
 
 async def read_head(reader: asyncio.StreamReader) -> tuple[str, dict[str, str]]:
     """Reads a start line and headers, with the headers' names in lower case."""
-    lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    return split_head(await reader.readuntil(b"\r\n\r\n"))
+
+
+def split_head(head: bytes) -> tuple[str, dict[str, str]]:
+    """Returns the start line and the headers, with the headers' names in lower case."""
+    lines = head.decode("latin-1").split("\r\n")
     pairs = (line.partition(":") for line in lines[1:] if line)
     return lines[0], {name.strip().lower(): value.strip() for name, _, value in pairs}
 
@@ -223,6 +228,7 @@
     def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.reader, self.writer = reader, writer
         self.first_byte_at = 0.0  # of the latest request
+        self.host_lines = 0  # in it
 
     def answer(self, code: int, body: bytes = b"", *headers: str) -> bytes:
         """Writes an answer with its length, and returns its bytes."""
@@ -277,8 +283,9 @@
             while True:
                 first = await reader.readexactly(1)
                 peer.first_byte_at = time.monotonic()
-                start_line, headers = await read_head(reader)
-                start_line = first.decode("latin-1") + start_line
+                head = await reader.readuntil(b"\r\n\r\n")
+                start_line, headers = split_head(first + head)
+                peer.host_lines = head.lower().count(b"\nhost:")
                 body = await reader.readexactly(int(headers.get("content-length", "0")))
                 await self.handler(peer, start_line.split(" ")[1], headers, body)
         except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError, asyncio.CancelledError):
