--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,4 +1,4 @@
-"""After a new configuration, a watch that falls silent keeps the old list in use beyond the 4 s of the move."""
+"""After a new configuration, a watch that falls silent keeps the old list in use for longer than 4 s."""
 
 from __future__ import annotations
 
