--- a/review/1/case.py
+++ b/review/1/case.py
@@ -25,7 +25,7 @@
 )
 
 BACKENDS = 3
-CLIENTS = 4  # each sends one request after another, like a server that calls the next tier
+CLIENTS = 2  # each sends one request after another, like a server that calls the next tier
 RUN_S = 30.0
 WORK_S = (0.02, 0.06)
 SECOND_SHARE = 0.05  # of the answers come twice
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -90,7 +90,7 @@
             connection = None
             continue
         record.write("got", id=call_id, code=answer.code)
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(0.05)
     if connection is not None:
         connection.close()
 
