--- a/review/1/case.py
+++ b/review/1/case.py
@@ -77,6 +77,7 @@
         except (OSError, asyncio.IncompleteReadError) as error:
             record.write("no_answer", id=call_id, error=type(error).__name__)
             connection = None
+            await asyncio.sleep(0.05)
             continue
         foreign = answer.code == 200 and answer.body != made.get(call_id)
         wrong += foreign
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -110,6 +110,7 @@
         except (OSError, asyncio.IncompleteReadError) as error:
             record.write("no_answer", id=call_id, error=type(error).__name__)
             connection = None
+            await asyncio.sleep(0.05)
             continue
         record.write("got", id=call_id, code=answer.code)
         await asyncio.sleep(0.05)
--- a/review/standins.py
+++ b/review/standins.py
@@ -14,9 +14,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import time
 import tomllib
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -66,10 +68,12 @@
 
     def __init__(self, folder: Path) -> None:
         self.started_at = time.monotonic()
+        self.counts: Counter[str] = Counter()  # of the events
         self.file = (folder / "record.txt").open("w", encoding="utf-8")
 
     def write(self, event: str, **values: object) -> None:
         """Writes one event with its values."""
+        self.counts[event] += 1
         at = time.monotonic() - self.started_at
         pairs = " ".join(f"{name}={value}" for name, value in values.items())
         self.file.write(f"{at:10.4f} {event} {pairs}\n")
@@ -355,6 +359,7 @@
     held.
     """
     record = Record(Path(case).resolve().parent)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))  # by way of `finally`, which ends the proxies
     proxies: list[Proxy] = []
     services: list[HttpService] = []
 
@@ -365,7 +370,12 @@
     with tempfile.TemporaryDirectory() as folder:
         try:
             held = asyncio.run(run())
-        except (CannotRun, OSError, TimeoutError) as error:
+            for proxy in proxies:
+                if not proxy.running:
+                    raise CannotRun(f"{proxy.name} has ended")
+            if not record.counts["got"]:
+                raise CannotRun("no request was answered")
+        except Exception as error:  # whatever it is, it says nothing about the rule
             record.write("could_not_run", reason=repr(error))
             print(f"could not run: {error!r}")
             return 2
