--- a/review/standins.py
+++ b/review/standins.py
@@ -125,7 +125,7 @@
             "TMPDIR": str(self.folder), "PYTHONDONTWRITEBYTECODE": "1",
         }  # fmt: skip
         with (self.folder / f"{self.name}.log").open("ab") as log:
-            self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=env, stdout=log, stderr=log)
+            self.process = subprocess.Popen(["sh", "-c", run], cwd=ROOT, env=env, stdout=log, stderr=log)
         self.record.write("proxy_started", proxy=self.name, pid=self.process.pid)
 
     async def wait_until_ready(self, timeout: float = 20.0) -> None:
