Let a backend connection rest after an answer, so that a late copy meets no request

Cause: net/upstream.py gave a connection to the next request 1 ms after an answer (REUSE_DELAY_S), and only the order on the connection ties an answer to its request. Ruled out: unread bytes (both checks look at the socket, the copies come later) and state left in the parser (it is new for each exchange).

What arrives meanwhile closes it. Requests do not wait: they take a rested connection or open one; only at the proxy's own limit of connections they wait for one, instead of closing another backend's. Probes, retries and hedges use the same code.

--- a/granitepoint/fleet/proxies.py
+++ b/granitepoint/fleet/proxies.py
@@ -19,8 +19,9 @@
 from granitepoint.net.driver import Driver, OpenCall
 from granitepoint.net.listener import Listener
 from granitepoint.net.listing import Listing
+from granitepoint.net.reuse_delay import MIN_REUSE_DELAY_S
 from granitepoint.net.server import ClientConnection, Reply, Request, Server
-from granitepoint.net.upstream import LAST_BYTE_DELAY_S, REUSE_DELAY_S, Exchange
+from granitepoint.net.upstream import LAST_BYTE_DELAY_S, Exchange
 
 # The stages of a call in the proxy, in order:
 #   read:     from the first byte read until the request is accepted
@@ -51,8 +52,8 @@
 
     def __init__(self) -> None:
         self.histograms = {name: Histogram() for name in (*STAGES, "whole")}
-        # Calls whose connect stage took about REUSE_DELAY_S: they probably waited for the end of the pause
-        # after the previous answer on their connection.
+        # Calls whose connect stage took about MIN_REUSE_DELAY_S: at the limit of connections they probably
+        # waited for the end of the pause after the previous answer on their connection.
         self.reuse_delays = 0
 
     def record(self, times: CallTimes, answered_at: float, written_at: float) -> None:
@@ -69,7 +70,7 @@
         for name, duration in zip(STAGES, durations, strict=True):
             self.histograms[name].add(duration)
         self.histograms["whole"].add(sum(durations))
-        self.reuse_delays += REUSE_DELAY_S / 2 < durations[3] < 3 * REUSE_DELAY_S
+        self.reuse_delays += MIN_REUSE_DELAY_S / 2 < durations[3] < 3 * MIN_REUSE_DELAY_S
 
 
 class TimedConnection(ClientConnection):
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -17,6 +17,7 @@
 from granitepoint.net.config import Address
 from granitepoint.net.listing import Listing
 from granitepoint.net.logs import EventLogger
+from granitepoint.net.reuse_delay import ReuseDelay
 
 log = EventLogger(__name__)
 
@@ -28,8 +29,6 @@
 # then lets the sockets be read once more: what it waits for may have arrived.
 STALL_THRESHOLD_S = 0.01
 NEXT_LOOP_ITERATION_S = 0.001  # the event loop reads its sockets before a timer of this length fires
-# Between an answer and the reuse of its connection, so that unexpected data after the answer is noticed.
-REUSE_DELAY_S = NEXT_LOOP_ITERATION_S
 # Between a request and its last byte: a connection that was lost unnoticed breaks in this time.
 LAST_BYTE_DELAY_S = NEXT_LOOP_ITERATION_S
 PEER_CLOSED_EVENTS = select.POLLERR | select.POLLHUP | select.POLLRDHUP  # closed or reset
@@ -194,6 +193,7 @@
     """One connection to a backend, which carries one exchange at a time."""
 
     __slots__ = (
+        "answered_at",
         "body",
         "body_size",
         "body_until_close",
@@ -224,6 +224,7 @@
         # Code of an answer that is complete but not delivered yet, and whether the connection can be kept.
         self.pending_answer: tuple[int, bool] | None = None
         self.idle_since = 0.0  # monotonic
+        self.answered_at = -math.inf  # monotonic, of its last answer
         self.connected_at = time.monotonic()
         self.exchange_count = 0  # exchanges started on it so far
         self.idle_for = 0.0  # seconds for which it was idle before the latest exchange
@@ -269,10 +270,7 @@
         """Parses data; a malformed answer ends the exchange, data without a request the connection."""
         self.upstream.last_received_at = time.monotonic()
         if self.exchange is None or not self.exchange.sent:
-            exchange = self.exchange
-            self.abandon()  # data without a request is not the answer to anything
-            if exchange is not None:
-                self._fail_unsent(exchange)
+            self._on_unexpected_data(len(data))
             return
         self.bytes_received += len(data)
         malformed = False
@@ -297,6 +295,21 @@
         elif malformed:
             self._end_malformed()
 
+    def _on_unexpected_data(self, size: int) -> None:
+        """Closes the connection: data without a request is not the answer to anything."""
+        now = time.monotonic()
+        log.info(
+            "unexpected_data", backend="{}:{}".format(*self.upstream.address), bytes=size,
+            after_answer_s=now - self.answered_at if self.exchange_count else None,
+            carried=self.exchange_count,
+        )  # fmt: skip
+        self.upstream.owner.counts["unexpected data"] += 1
+        self.upstream.owner.reuse_delay.on_unexpected_data(now - self.answered_at, now)
+        exchange = self.exchange
+        self.abandon()
+        if exchange is not None:
+            self._fail_unsent(exchange)
+
     def _deliver(self) -> None:
         """Passes the complete answer to the exchange, and keeps or closes the connection."""
         assert self.pending_answer is not None and self.exchange is not None
@@ -304,6 +317,7 @@
         headers, self.headers = self.headers, []
         body, self.body = b"".join(self.body), []
         exchange, self.exchange, self.parser = self.exchange, None, None
+        self.answered_at = time.monotonic()
         if keep_alive:
             self.upstream.release(self)
         else:
@@ -450,30 +464,30 @@
         """Whether requests may be sent to it."""
         return self.state is ServerState.SERVING
 
-    def take_idle(self, max_idle_age: float) -> Connection | None:
-        """Returns an idle connection, or None if there is none that may be reused.
+    def take_rested(self, max_idle_age: float) -> Connection | None:
+        """Returns an idle connection that has rested after its last answer, or None if there is none.
 
-        The most recently used one is preferred, so that surplus connections reach the idle timeout. One that
-        was in use less than REUSE_DELAY_S ago is returned only if there is no other. Connections that have
-        been idle for more than `max_idle_age` seconds are closed.
+        The most recently used one is preferred, so that surplus connections reach the idle timeout.
+        Connections that have been idle for more than `max_idle_age` seconds are closed.
         """
         now = time.monotonic()
-        # Limits of idle_since: below the first a connection is closed, above the second it is a last resort.
-        min_idle_since, max_idle_since = now - min(self.owner.idle_timeout, max_idle_age), now - REUSE_DELAY_S
-        while self.idle:
-            index = len(self.idle) - 1
-            while index and self.idle[index].idle_since > max_idle_since:
-                index -= 1
-            if self.idle[index].idle_since > max_idle_since:
-                index = -1
-            connection = self.idle.pop(index)
-            if connection.transport is not None and not connection.transport.is_closing():
-                if connection.idle_since > min_idle_since:
-                    return connection
+        min_idle_since = now - min(self.owner.idle_timeout, max_idle_age)
+        rested_since = now - self.owner.reuse_delay.at(now)
+        for connection in reversed(self.idle.copy()):
+            if connection.idle_since <= min_idle_since:
                 self.owner.counts["closed as too old"] += 1
                 connection.abandon()
+            elif connection.answered_at <= rested_since:
+                self.idle.remove(connection)
+                if connection.transport is not None and not connection.transport.is_closing():
+                    return connection
         return None
 
+    def rested_at(self) -> float:
+        """Returns when the first idle connection will have rested (monotonic); infinity if there is none."""
+        answered_at = min((connection.answered_at for connection in self.idle), default=math.inf)
+        return answered_at + self.owner.reuse_delay.at(time.monotonic())
+
     def release(self, connection: Connection) -> None:
         """Returns a connection to the idle ones, or closes it if the backend is not used any more."""
         if connection not in self.connections or not self.serving:
@@ -522,6 +536,7 @@
         self.idle_timeout = IDLE_TIMEOUT_SHARE * conn_idle  # seconds
         self.max_connections = max_connections
         self.on_idle_closed = on_idle_closed  # called when a backend closes an idle connection
+        self.reuse_delay = ReuseDelay()
         self.open_connections = 0
         self.counts: Counter[str] = Counter()  # of connection events, since the last statistics line
         self.by_id: dict[int, Upstream] = {}
@@ -561,21 +576,33 @@
                 del self.by_id[server]  # attempts in flight on it end by themselves
 
     def start(self, exchange: Exchange) -> None:
-        """Runs the exchange on an idle connection, or on a new one if there is none."""
+        """Runs the exchange on a rested connection, or on a new one if there is none.
+
+        At the limit of connections it waits until one of this backend has rested, before a connection to
+        another backend is closed for it.
+        """
         upstream = exchange.upstream
-        connection = upstream.take_idle(exchange.max_idle_age)
+        connection = upstream.take_rested(exchange.max_idle_age)
         if connection is not None:
-            wait = connection.idle_since + REUSE_DELAY_S - time.monotonic()
-            if wait > 0:
-                self.loop.call_later(wait, self._reuse, exchange, connection)
-            else:
-                self._reuse(exchange, connection)
-        elif self.descriptors_in_use >= self.max_connections and not self._evict_idle():
-            exchange.end(Status.MOOT)  # the limit is this proxy's own and says nothing about the backend
-        else:
-            task = self.loop.create_task(self._connect(exchange, upstream))
-            self._connect_tasks.add(task)
-            task.add_done_callback(self._connect_tasks.discard)
+            self._reuse(exchange, connection)
+            return
+        if self.descriptors_in_use >= self.max_connections:
+            rested_at = upstream.rested_at()
+            if rested_at < math.inf:
+                self.loop.call_later(max(0.0, rested_at - time.monotonic()), self._start_again, exchange)
+                return
+            if not self._evict_idle():
+                exchange.end(Status.MOOT)  # the limit is this proxy's own and says nothing about the backend
+                return
+        self.counts["opened beside resting"] += bool(upstream.idle)
+        task = self.loop.create_task(self._connect(exchange, upstream))
+        self._connect_tasks.add(task)
+        task.add_done_callback(self._connect_tasks.discard)
+
+    def _start_again(self, exchange: Exchange) -> None:
+        """Starts an exchange that has waited for a connection, unless it has ended meanwhile."""
+        if exchange.status is None:
+            self.start(exchange)
 
     def _reuse(self, exchange: Exchange, connection: Connection) -> None:
         """Runs the exchange on an idle connection, unless that has broken or holds unread data.
@@ -586,8 +613,7 @@
             exchange.run_on(connection)
             return
         connection.abandon()
-        if exchange.status is None:
-            self.start(exchange)
+        self._start_again(exchange)
 
     async def _connect(self, exchange: Exchange, upstream: Upstream) -> None:
         connection = Connection(upstream)
--- a/tests/netkit.py
+++ b/tests/netkit.py
@@ -16,6 +16,8 @@
 from typing import Any
 from urllib.parse import parse_qs
 
+from granitepoint.net.upstream import Upstream
+
 ROOT = Path(__file__).parent.parent
 TEST_TIMEOUT_S = 20.0  # a test that waits longer fails
 
@@ -40,6 +42,17 @@
 }  # fmt: skip
 
 
+# Without probes, the connections of a proxy carry the calls of the test alone.
+LIMITS_WITHOUT_PROBES: dict[str, Any] = {**SETTINGS["policy_limits"], "probes": False}
+
+
+def age_idle_connections(upstream: Upstream, seconds: float) -> None:
+    """Makes the idle connections to a backend look as if they had been idle this much longer."""
+    for connection in upstream.idle:
+        connection.answered_at -= seconds
+        connection.idle_since -= seconds
+
+
 class ReceivedRequest:
     """A request as a backend received it."""
 
