Let only a list cover the deadline of a move of discovery, not a watch that is open

Cause: ListLease._not_notified_until cut the lease to the deadline of the move and then took the later of this and the end of the open watch, 27 s on. Nothing asked discovery at the deadline either: the watch is renewed after 15 to 18 s. Ruled out: a list that came and was not acted on, a signal handled late, health checks. A second move made the deadline of the first one forgotten, which is the same fault.

Change: membership/move_deadlines.py keeps each deadline until a list covers it, for the lease and for the client. The client holds its watch until the deadline: the answer that nothing has changed was written at the end of its hold, and is proof. A move counts from when it was made, not from when the balancer hears of it.

Four tests asked for the fault (a lease of 27 s, a hold of 25 s right after a move). They now ask for the 4 s, and for the long lease and hold once a list covers the deadline.

--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -709,8 +709,8 @@
     def on_watch_lost(self, event: WatchLost) -> None:
         """Handles a watch that failed, fell silent or moved: changes may be missed until the next list."""
         self.health_leases.lose_confirmation(self.now, event.notified_within)
-        if event.moved:
-            self.list_lease.on_move(self.now)
+        if event.moved_at is not None:
+            self.list_lease.on_move(event.moved_at)
         elif event.silent:
             self.list_lease.on_silence(self.now)
 
--- a/granitepoint/membership/list_lease.py
+++ b/granitepoint/membership/list_lease.py
@@ -14,6 +14,7 @@
 import math
 
 from granitepoint.membership.evidence import Failure
+from granitepoint.membership.move_deadlines import MoveDeadlines
 
 # s after which a proxy counts as notified of a change, from when discovery had it and could be reached.
 NOTIFIED_AFTER = 6.0
@@ -21,8 +22,6 @@
 # the call open without an answer.
 NOTIFIED_AFTER_HOLD = 2.0
 MAX_WATCH_GAP = 0.2  # s between an answer and the next call that continues the same watch
-# s; the same for every change that discovery has at a new address, counted from when its address changed.
-NOTIFIED_AFTER_MOVE = 4.0
 # s by which the lease outlasts these times: the part of a drain's grace period that may pass between the
 # decision to send and the first byte.
 GRACE_MARGIN = 0.1
@@ -42,8 +41,7 @@
         self.answered_at = -math.inf  # when the last list came; -inf: none came from the current address
         # While a watch is open: until then the proxy does not count as notified of changes that it missed.
         self.watch_valid_until = -math.inf
-        # When the proxy counts as notified of every change that discovery has at its latest address.
-        self.move_notified_at = -math.inf
+        self.move_deadlines = MoveDeadlines()
         # Until the first list from a new address: until when the list from the old one may be used.
         self.old_list_until: float | None = None
 
@@ -59,10 +57,9 @@
         """Until when this proxy cannot count as notified of any change that it missed."""
         if self.old_list_until is not None:
             return self.old_list_until
-        not_notified_until = self.verified_until + self.notified_after
-        if self.verified_until < self.move_notified_at:
-            not_notified_until = min(not_notified_until, self.move_notified_at)
-        return max(not_notified_until, self.watch_valid_until)
+        # An open watch may have fallen silent, so it does not postpone the deadline of a move.
+        not_notified_until = max(self.verified_until + self.notified_after, self.watch_valid_until)
+        return min(not_notified_until, self.move_deadlines.first)
 
     def valid(self, now: float) -> bool:
         """Whether requests may be sent to the listed servers."""
@@ -78,6 +75,7 @@
         if answers_newest_call:
             self.watch_valid_until = -math.inf
         self.old_list_until = None
+        self.move_deadlines.on_list(written_after)
 
     def on_watch_opened(self, started_at: float, hold: float) -> None:
         """A call was made that discovery holds for up to `hold` seconds.
@@ -120,13 +118,13 @@
         """The open watch has been silent for so long that another call is made in parallel."""
         self.watch_valid_until = min(self.watch_valid_until, now + NOTIFIED_AFTER)
 
-    def on_move(self, now: float) -> None:
-        """Discovery has a new address from `now` on.
+    def on_move(self, moved_at: float) -> None:
+        """Discovery has a new address from `moved_at` on.
 
         NOTIFIED_AFTER_MOVE later the proxy counts as notified of every change that discovery has there,
         whether the proxy has asked or not, and only a list from that address is proof. Repeated moves do not
         extend the time.
         """
-        self.move_notified_at = now + NOTIFIED_AFTER_MOVE
-        self.old_list_until = min(self._not_notified_until, self.move_notified_at)
+        self.move_deadlines.on_move(moved_at)
+        self.old_list_until = self._not_notified_until
         self.watch_valid_until = self.answered_at = -math.inf
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -17,8 +17,9 @@
 from granitepoint.interface import DiscoveryFailed, WatchLost, WatchOpened
 from granitepoint.membership.backoff import Backoff
 from granitepoint.membership.evidence import IMMEDIATE_FAILURE_TIME, Failure
-from granitepoint.membership.list_lease import MAX_WATCH_GAP, NOTIFIED_AFTER_HOLD, NOTIFIED_AFTER_MOVE
+from granitepoint.membership.list_lease import MAX_WATCH_GAP, NOTIFIED_AFTER_HOLD
 from granitepoint.membership.list_lease import NOTIFIED_AFTER as SILENCE_NOTIFIED_AFTER
+from granitepoint.membership.move_deadlines import NOTIFIED_AFTER_MOVE, MoveDeadlines
 from granitepoint.membership.start_times import StartTimes
 from granitepoint.membership.version_history import VersionHistory
 from granitepoint.net.config import Address
@@ -35,6 +36,9 @@
 HOLD_MS = 25_000
 # The same while the list is unconfirmed: short, as the lease on the list ends unless an answer renews it.
 CONFIRM_HOLD_MS = 50
+# From the end of the hold of a call that covers the deadline of a move: then another call is made beside it.
+# An answer that need not wait in the queue of discovery has come by then.
+DEADLINE_TIMEOUT_S = IMMEDIATE_FAILURE_TIME
 # After which a call with CONFIRM_HOLD_MS counts as dead; its queueing and hold take 2.5 s at most.
 CONFIRM_TIMEOUT_S = 3.2
 # In addition to the hold of a call (how long discovery may leave it unanswered while nothing changes), as
@@ -94,6 +98,7 @@
         self.history = VersionHistory(version)
         self.start_times = start_times or StartTimes()
         self.moving = False  # discovery has a new address, and no list has come from it yet
+        self.move_deadlines = MoveDeadlines()
         self.on_list, self.on_failed = on_list, on_failed
         self.on_evidence = on_evidence  # called with all events that affect the lease on the list
         # For the retries that this client makes by itself, on a watch or at a new address.
@@ -137,20 +142,23 @@
         changes count as notified.
         """
         self.stop()
-        self._watch_lost(NOTIFIED_AFTER_MOVE, moved=True)
+        moved_at = time.monotonic()
+        self.move_deadlines.on_move(moved_at)
+        self._watch_lost(NOTIFIED_AFTER_MOVE, moved_at)
         self.address, self.moving, self.version = address, True, self.history.version
         self.last_answer_at = -math.inf  # the last answer came from the old address
         self.watch(True)
 
     def _watch_lost(
-        self, notified_within: float = math.inf, moved: bool = False, silent: bool = False
+        self, notified_within: float = math.inf, moved_at: float | None = None, silent: bool = False
     ) -> None:
         """Reports a lost watch; what it misses counts as notified within `notified_within` seconds.
 
-        `moved`: discovery has a new address. `silent`: the call stays open beside the next one.
+        `moved_at`: when discovery got a new address (monotonic). `silent`: the call stays open beside the
+        next one.
         """
         self.confirmed = False
-        self.on_evidence(WatchLost(notified_within, moved, silent))
+        self.on_evidence(WatchLost(notified_within, moved_at, silent))
 
     def fetch(self) -> None:
         """Requests the full list, beside the watch."""
@@ -177,7 +185,8 @@
         A dead watch can't be told from a list that does not change. So a call that is not answered within
         RENEW_AFTER_S is followed by another one beside it, early enough for a retry before what a dead watch
         has missed counts as notified. The earlier call stays open until it ends, as discovery may still
-        answer it.
+        answer it. After a move one call is held until the deadline of the move, so that its answer, even if
+        nothing has changed, covers all changes until then.
         """
         loop = asyncio.get_running_loop()
         calls = self._watch_calls
@@ -185,14 +194,8 @@
         try:
             while True:
                 started_at, was_moving = loop.time(), self.moving
-                hold = (HOLD_MS if self.confirmed else CONFIRM_HOLD_MS) / 1000
-                timeout = (
-                    MOVE_RETRY_AFTER_S
-                    if was_moving
-                    else RENEW_AFTER_S
-                    if self.confirmed
-                    else CONFIRM_TIMEOUT_S
-                )
+                hold = self._next_hold()
+                timeout = self._next_timeout(hold)
                 continued = time.monotonic() - self.last_answer_at <= MAX_WATCH_GAP
                 call = DiscoveryCall(
                     time.monotonic(), hold, continued, self.last_answer_unqueued, self._since_version()
@@ -202,7 +205,7 @@
                     self.on_evidence(WatchOpened(call.started_at, hold))
                 newest_task = loop.create_task(self._make_call(channel, hold + CALL_TIMEOUT_S, call))
                 calls[newest_task] = channel
-                await asyncio.wait([newest_task], timeout=self._shortened(timeout, TIMEOUT_JITTER))
+                await asyncio.wait([newest_task], timeout=timeout)
                 for older in [older for older in calls if older.done() and older is not newest_task]:
                     calls.pop(older).close()
                 tries = tries + 1 if self.moving else 0
@@ -234,6 +237,23 @@
             if channel not in calls.values():
                 channel.close()
 
+    def _next_hold(self) -> float:
+        """Returns the seconds for which discovery may hold the next call of the watch."""
+        if not self.confirmed:
+            return CONFIRM_HOLD_MS / 1000
+        until_deadline_ms = min(HOLD_MS, (self.move_deadlines.first - time.monotonic()) * 1000)
+        return max(CONFIRM_HOLD_MS, math.ceil(until_deadline_ms)) / 1000
+
+    def _next_timeout(self, hold: float) -> float:
+        """Returns the seconds after which a call with this hold is followed by another one beside it."""
+        if self.confirmed and hold < HOLD_MS / 1000:
+            return hold + DEADLINE_TIMEOUT_S  # not at random: a proxy without a list serves nobody
+        if self.moving:
+            timeout = MOVE_RETRY_AFTER_S
+        else:
+            timeout = RENEW_AFTER_S if self.confirmed else CONFIRM_TIMEOUT_S
+        return self._shortened(timeout, TIMEOUT_JITTER)
+
     def _since_version(self) -> int | None:
         """Returns the version since which changes are requested; None for the full list."""
         return self.history.request_from if self.moving and self.version is not None else self.version
@@ -289,12 +309,7 @@
             if self.moving and not self._continues_history(listing):
                 self.version = None
                 return True
-            # Discovery writes the answer of a continued watch when something changes, shortly before it is
-            # read. Any other answer is written when the call's turn in the queue comes: it may be as old as
-            # the call.
-            listing.written_after = (
-                max(call.started_at, now - MAX_READ_DELAY_S) if call.continued else call.started_at
-            )
+            listing.written_after = earliest_writing_time(listing, call, now)
             listing.answers_newest_call = call is self.newest_call
             listing.service_time = self._service_time(listing, call, waited)
             self.on_list(listing)
@@ -343,6 +358,8 @@
         """Updates the state after a list has been delivered."""
         self.lists_received += 1
         self.version = listing.version
+        if listing.written_after is not None:
+            self.move_deadlines.on_list(listing.written_after)
         self.backoff.succeeded(listing.service_time)
         if self.moving:
             self.moving = False
@@ -358,6 +375,20 @@
             self.confirmed = True
 
 
+def earliest_writing_time(listing: Listing, call: DiscoveryCall, now: float) -> float:
+    """Returns the monotonic time at which, or after which, discovery wrote the answer read at `now`.
+
+    Discovery writes the answer of a continued watch when something changes, shortly before it is read. Any
+    other answer is written when the call's turn in the queue comes: it may be as old as the call. An answer
+    that nothing has changed is written when the hold has ended.
+    """
+    hold_ended_at = call.started_at + call.hold
+    unchanged = not listing.full and not listing.backends and listing.version == call.since_version
+    if unchanged and now >= hold_ended_at:
+        return max(hold_ended_at, now - MAX_READ_DELAY_S) if call.continued else hold_ended_at
+    return max(call.started_at, now - MAX_READ_DELAY_S) if call.continued else call.started_at
+
+
 def request_target(call: DiscoveryCall) -> str:
     """Returns the path and query of a call."""
     if call.since_version is None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -159,7 +159,7 @@
             )
             lost = [each for each in evidence if isinstance(each, WatchLost)]
             assert notified_within - 1.0 < lost[0].notified_within < notified_within and not client.confirmed
-            assert lost[0].silent and not lost[0].moved
+            assert lost[0].silent and lost[0].moved_at is None
 
     run(test())
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -14,7 +14,7 @@
     NOTIFIED_LEASE_DURATION,
     RENEW_AFTER,
 )
-from granitepoint.membership.list_lease import NOTIFIED_AFTER_MOVE
+from granitepoint.membership.move_deadlines import NOTIFIED_AFTER_MOVE
 
 NOTIFIED_AFTER = 6.0  # s after a change the proxy counts as notified, whether its calls were answered or not
 # s that an attempt may take from the decision to its first byte
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -23,9 +23,9 @@
     MAX_WATCH_GAP,
     NOTIFIED_AFTER,
     NOTIFIED_AFTER_HOLD,
-    NOTIFIED_AFTER_MOVE,
     ListLease,
 )
+from granitepoint.membership.move_deadlines import NOTIFIED_AFTER_MOVE
 from granitepoint.net.discovery_channel import classify_failure
 
 # s of the grace period of a drain; s that a process may be delayed between reading the clock and sending
@@ -127,7 +127,41 @@
     assert lease.expires_at == 110.0 + NOTIFIED_AFTER_MOVE + GRACE_MARGIN
     lease.on_list(113.5, 113.9)
     lease.on_watch_opened(113.9, HOLD)
-    assert lease.expires_at == 113.9 + HOLD + NOTIFIED_AFTER_HOLD + GRACE_MARGIN
+    assert lease.expires_at == 110.0 + NOTIFIED_AFTER_MOVE + GRACE_MARGIN
+    lease.on_list(114.0, 114.0)
+    lease.on_watch_opened(114.0, HOLD)
+    assert lease.expires_at == 114.0 + HOLD + NOTIFIED_AFTER_HOLD + GRACE_MARGIN
+
+
+def test_an_open_watch_does_not_postpone_the_deadline_of_a_move() -> None:
+    """Guards against requests to draining servers after SIGHUP: the watch that was opened at the new address
+    had fallen silent, and its hold of 25 s was taken for the time until its silence counts. Requests went to
+    a draining server for up to 13 s after the proxy counted as notified."""
+    lease = lease_after_list()
+    lease.on_move(101.0)
+    lease.on_list(101.1, 101.2)
+    lease.on_watch_opened(101.2, HOLD)
+    assert lease.expires_at == 101.0 + NOTIFIED_AFTER_MOVE + GRACE_MARGIN
+    lease.on_silence(105.3)
+    assert not lease.valid(105.3)
+    lease.on_list(105.3, 105.4)
+    assert lease.valid(105.4)
+
+
+def test_a_second_move_leaves_the_deadline_of_the_first_one_in_force() -> None:
+    """Whatever discovery has 4 s after the first signal counts by then, at whichever address it is."""
+    lease = lease_after_list()
+    for moved_at in (101.0, 103.0):
+        lease.on_move(moved_at)
+        lease.on_list(moved_at + 0.1, moved_at + 0.1)
+        lease.on_watch_opened(moved_at + 0.1, HOLD)
+        assert lease.expires_at == 101.0 + NOTIFIED_AFTER_MOVE + GRACE_MARGIN
+    lease.on_list(105.0, 105.0)
+    lease.on_watch_opened(105.0, HOLD)
+    assert lease.expires_at == 103.0 + NOTIFIED_AFTER_MOVE + GRACE_MARGIN
+    lease.on_list(107.0, 107.0)
+    lease.on_watch_opened(107.0, HOLD)
+    assert lease.expires_at == 107.0 + HOLD + NOTIFIED_AFTER_HOLD + GRACE_MARGIN
 
 
 def test_repeated_moves_neither_extend_the_time_nor_renew_a_lease_that_has_ended() -> None:
@@ -146,13 +180,13 @@
 
 
 def test_a_list_from_the_new_address_proves_nothing_about_later_changes() -> None:
-    """Later changes count as known together with everything else at that address, unless a watch is open."""
+    """Later changes count as known together with everything else at that address."""
     lease = lease_after_list()
     lease.on_move(101.0)
     lease.on_list(101.5, 101.6)
     assert lease.expires_at == 101.0 + NOTIFIED_AFTER_MOVE + GRACE_MARGIN
     lease.on_watch_opened(101.6, HOLD)
-    assert lease.expires_at == 101.6 + HOLD + NOTIFIED_AFTER_HOLD + GRACE_MARGIN
+    assert lease.expires_at == 101.0 + NOTIFIED_AFTER_MOVE + GRACE_MARGIN
     lease.on_failure(Failure.WATCH_LOST, 101.6, 104.8)
     assert lease.expires_at == 101.0 + NOTIFIED_AFTER_MOVE + GRACE_MARGIN
     lease.on_list(105.0, 105.1)
--- a/tests/test_moves.py
+++ b/tests/test_moves.py
@@ -17,10 +17,14 @@
 
 import pytest
 from netkit import endpoint, run
-from test_discovery import ADDRESS, ScriptedDiscovery, states
+from test_discovery import ADDRESS, ReceivedCall, ScriptedDiscovery, states
 
+from granitepoint.membership import move_deadlines
+from granitepoint.membership.move_deadlines import NOTIFIED_AFTER_MOVE
 from granitepoint.membership.version_history import MAX_REPEATED_ENTRIES, VersionHistory
 from granitepoint.net import discovery as discovery_module
+from granitepoint.net.discovery import DiscoveryCall, earliest_writing_time
+from granitepoint.net.listing import Listing
 
 CHANGED_SERVERS = {1, 2}
 FULL_LIST_TARGET = "/v1/servers"
@@ -87,6 +91,65 @@
         yield client
 
 
+def hold_ms(call: ReceivedCall) -> int:
+    """Returns the hold that a call asks for, in milliseconds."""
+    return int(call.target.rpartition("hold_ms=")[2])
+
+
+def test_an_answer_at_the_deadline_of_a_move_covers_it(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a list that is used after SIGHUP although nothing has come since: the watch is held
+    until the deadline and no longer, and the answer that nothing has changed is proof of that."""
+    monkeypatch.setattr(move_deadlines, "NOTIFIED_AFTER_MOVE", 0.5)
+
+    async def test() -> None:
+        peer = ScriptedDiscovery()
+        loop = asyncio.get_running_loop()
+        async with moved_client(peer) as client:
+            deadline = client.move_deadlines.first
+            (await peer.next("/v1/servers?from=1&")).answer(2, endpoint("s-1", ADDRESS, "Terminating"))
+            call = await peer.next("/v1/servers?from=2&")
+            hold_end = loop.time() + hold_ms(call) / 1000
+            assert deadline <= hold_end <= deadline + 0.05
+            await asyncio.sleep(hold_end - loop.time())
+            call.answer(2)
+            assert hold_ms(await peer.next("/v1/servers?from=2&")) == discovery_module.HOLD_MS
+            await peer.lists.get()
+            received = await peer.lists.get()
+            assert received.written_after is not None and received.written_after >= deadline
+
+    run(test())
+
+
+def test_a_watch_that_is_silent_at_the_deadline_of_a_move_is_followed_by_another_at_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against seconds without a list: the list may not be used until an answer comes."""
+    monkeypatch.setattr(move_deadlines, "NOTIFIED_AFTER_MOVE", 0.3)
+
+    async def test() -> None:
+        peer = ScriptedDiscovery()
+        loop = asyncio.get_running_loop()
+        async with moved_client(peer) as client:
+            deadline = client.move_deadlines.first
+            (await peer.next("/v1/servers?from=1&")).answer(2, endpoint("s-1", ADDRESS, "Terminating"))
+            await peer.next("/v1/servers?from=2&")
+            renewed = await peer.next(f"/v1/servers?from=2&hold_ms={discovery_module.CONFIRM_HOLD_MS}")
+            assert deadline <= loop.time() < deadline + 2 * discovery_module.DEADLINE_TIMEOUT_S
+            renewed.answer(2)
+            assert hold_ms(await peer.next("/v1/servers?from=2&")) == discovery_module.HOLD_MS
+
+    run(test())
+
+
+def test_an_early_answer_without_changes_does_not_cover_the_rest_of_its_hold() -> None:
+    unchanged = Listing(version=2, full=False, backends=[])
+    call = DiscoveryCall(100.0, hold=4.0, continued=True, since_version=2)
+    assert earliest_writing_time(unchanged, call, 101.0) == 101.0 - discovery_module.MAX_READ_DELAY_S
+    assert earliest_writing_time(unchanged, call, 104.01) == 104.0
+    newer = Listing(version=3, full=False, backends=[])
+    assert earliest_writing_time(newer, call, 104.01) == 104.01 - discovery_module.MAX_READ_DELAY_S
+
+
 def test_a_repeated_change_shows_that_the_new_address_continues_the_history() -> None:
     async def test() -> None:
         peer = ScriptedDiscovery()
@@ -94,7 +157,7 @@
             call = await peer.next(f"/v1/servers?from=1&hold_ms={discovery_module.CONFIRM_HOLD_MS}")
             call.answer(3, endpoint("s-1", ADDRESS, "Gone"), endpoint("s-2", ADDRESS))
             assert states(await peer.lists.get()) == ["gone", "serving"]
-            await peer.next(f"/v1/servers?from=3&hold_ms={discovery_module.HOLD_MS}")
+            assert hold_ms(await peer.next("/v1/servers?from=3&")) <= NOTIFIED_AFTER_MOVE * 1000
             assert client._verification_task is None and client.confirmed
 
     run(test())
@@ -131,7 +194,8 @@
         async with peer.client() as client:
             client.move(client.address)
             (await peer.next("/v1/servers?from=1&")).answer(1)
-            watched = await peer.next(f"/v1/servers?from=1&hold_ms={discovery_module.HOLD_MS}")
+            watched = await peer.next("/v1/servers?from=1&")
+            assert hold_ms(watched) <= NOTIFIED_AFTER_MOVE * 1000
             assert (await peer.lists.get()).version == 1
             for _ in range(2):
                 call = await peer.next(FULL_LIST_TARGET)
--- a/tests/test_turns.py
+++ b/tests/test_turns.py
@@ -5,7 +5,8 @@
 import pytest
 
 from granitepoint.faults.turns import Day, play
-from granitepoint.membership.list_lease import NOTIFIED_AFTER, NOTIFIED_AFTER_MOVE
+from granitepoint.membership.list_lease import NOTIFIED_AFTER
+from granitepoint.membership.move_deadlines import NOTIFIED_AFTER_MOVE
 
 MAX_QUEUE_TIME_S = 2.0
 
