Take only requests whose first line is one of HTTP/1.1

The backend saw HTTP/1.1, which the proxy writes.

Cause: net/server.py takes whatever the parser takes, and never looks at the version. The parser's own figure is not enough: it says 1.1 for RTSP/1.1 and for a line with several blanks, and 0.9 both for no version and for HTTP/0.9. Ruled out: the parser's leniency (none is switched on), a wrong path for lines that come in parts (alone, behind other requests and in single bytes they were all taken).

Change: net/request_lines.py cuts the input such that each request begins with a piece of its own, and checks the line before the parser gets the rest: 505 for another version of HTTP, 400 for anything else; then the connection closes, as after any input that can't be read. BadRequest moves to that module.

--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -17,6 +17,7 @@
 from granitepoint.interface import Effect
 from granitepoint.net.listener import Listener
 from granitepoint.net.logs import EventLogger
+from granitepoint.net.request_lines import BadRequest, RequestSplitter
 from granitepoint.net.upstream import (
     HOP_BY_HOP_HEADERS,
     NEXT_LOOP_ITERATION_S,
@@ -63,6 +64,7 @@
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 409: b"Conflict",
     413: b"Content Too Large", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
     502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
+    505: b"HTTP Version Not Supported",
 }  # fmt: skip
 Headers = tuple[tuple[bytes, bytes], ...]
 NO_HEADERS: Headers = ()
@@ -112,14 +114,6 @@
         ...
 
 
-class BadRequest(Exception):
-    """A request that is answered with an error status; the message is the body of the answer."""
-
-    def __init__(self, code: int, text: str) -> None:
-        super().__init__(text)
-        self.code = code  # HTTP status
-
-
 def _single_header(headers: list[tuple[bytes, bytes]], name: bytes) -> bytes:
     values = [value for key, value in headers if key == name]
     if len(values) > 1:
@@ -192,14 +186,15 @@
     __slots__ = (
         "answering", "body", "body_size", "call", "closing", "discarding_input", "head_size", "headers",
         "headers_complete", "in_message", "keep_alive", "over_limit", "parser", "pending_requests",
-        "raw_bytes", "read_ahead_bytes", "reading_paused", "server", "table", "table_since", "target",
-        "transport", "write_blocked",
+        "raw_bytes", "read_ahead_bytes", "reading_paused", "server", "splitter", "table", "table_since",
+        "target", "transport", "write_blocked",
     )  # fmt: skip
 
     def __init__(self, server: Server) -> None:
         self.server = server
         self.transport: asyncio.Transport | None = None
         self.parser: Any = None
+        self.splitter = RequestSplitter()
         self.target = b""
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
@@ -278,7 +273,8 @@
         self.raw_bytes += len(data)
         self.read_ahead_bytes += len(data)
         try:
-            self.parser.feed_data(data)
+            for piece in self.splitter.split(data):
+                self.parser.feed_data(piece)
             # httptools buffers an unfinished header without a callback, so the raw bytes are counted as well.
             if self.raw_bytes > MAX_HEAD_BYTES and not self.headers_complete:
                 raise BadRequest(431, "headers too large")
@@ -330,10 +326,13 @@
         # second request.
         if len(lengths) + len(codings) > 1 or (codings and codings[0].lower() != b"chunked"):
             raise BadRequest(400, "no one way to tell the length")
+        body_size = 0
         if lengths:
             if not lengths[0].isdigit():
                 raise BadRequest(400, "Content-Length is malformed")
-            self._check_body_size(int(lengths[0]) if len(lengths[0]) <= 15 else MAX_BODY_BYTES + 1)
+            body_size = int(lengths[0]) if len(lengths[0]) <= 15 else MAX_BODY_BYTES + 1
+            self._check_body_size(body_size)
+        self.splitter.on_headers_complete(None if codings else body_size)
         expects = any(n == b"expect" and v.lower() == b"100-continue" for n, v in self.headers)
         if expects and self.transport is not None and not self.answering and not self.pending_requests:
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -352,6 +351,7 @@
         """Queues the complete request."""
         self.in_message = self.headers_complete = False
         self.raw_bytes = 0
+        self.splitter.on_message_complete()
         parser = self.parser
         keep_alive = parser.should_keep_alive()
         method = parser.get_method()
