Take only answers whose status line is one of HTTP/1.1 or HTTP/1.0

An answer that began with HTTP/2.0, HTTP/0.9, RTSP/1.1 or ICE/1.0 was served to the caller with 200, and one of discovery was taken for a list. The fault is that of requests of other protocols, on the other side.

Cause: net/upstream.py and net/discovery_channel.py take whatever the parser takes, and it is built for several protocols. Ruled out: a lenient setting of the parser (there is none).

Change: net/answer_lines.py checks the first bytes of an answer and the version that the parser has read. HTTP/1.0 stays allowed: a server may answer a request of HTTP/1.1 with it. What is neither ends the attempt as one that may have run, and the call to discovery as failed.

Measured: eight of the new tests fail before and pass after; answers of HTTP/1.0 pass on both.

--- a/granitepoint/net/discovery_channel.py
+++ b/granitepoint/net/discovery_channel.py
@@ -8,6 +8,7 @@
 import httptools
 
 from granitepoint.membership.evidence import Failure, classify
+from granitepoint.net.answer_lines import AnswerLine
 from granitepoint.net.config import Address
 
 CONNECT_TIMEOUT_S = 1.0
@@ -21,6 +22,7 @@
         self.transport: asyncio.Transport | None = None
         self.answer: asyncio.Future[tuple[int, bytes]] | None = None  # of the call in progress: code and body
         self.parser: Any = None
+        self.answer_line = AnswerLine()
         self.body = bytearray()
         self.bytes_received = 0  # of the current answer, on the wire
         self.request_sent = False  # by the current call; a failure after that is not a LOCAL_ERROR
@@ -41,12 +43,17 @@
         try:
             if self.answer is None or self.answer.done() or self.bytes_received > MAX_ANSWER_BYTES:
                 raise ValueError("unexpected data, or an answer above the size limit")
+            self.answer_line.on_data(data)
             self.parser.feed_data(data)
         except Exception as error:  # after any error the rest of the stream can't be parsed
             self._fail(ValueError(f"malformed answer: {error}"))
             self.close()
 
     # parser callbacks
+    def on_headers_complete(self) -> None:
+        """Raises ValueError if the answer is not one of HTTP/1.1 or HTTP/1.0."""
+        self.answer_line.check_version(self.parser)
+
     def on_body(self, chunk: bytes) -> None:
         """Adds a part of the body. Raises ValueError above the size limit."""
         self.body += chunk
@@ -85,6 +92,7 @@
                         await loop.create_connection(lambda: self, *address)
                 assert self.transport is not None
                 self.parser = httptools.HttpResponseParser(self)
+                self.answer_line = AnswerLine()
                 self.body.clear()
                 self.bytes_received = 0
                 self.answer = loop.create_future()
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -14,6 +14,7 @@
 import httptools
 
 from granitepoint.interface import ServerState, Status
+from granitepoint.net.answer_lines import AnswerLine
 from granitepoint.net.config import Address
 from granitepoint.net.listing import Listing
 from granitepoint.net.logs import EventLogger
@@ -193,6 +194,7 @@
     """One connection to a backend, which carries one exchange at a time."""
 
     __slots__ = (
+        "answer_line",
         "answered_at",
         "body",
         "body_size",
@@ -216,6 +218,7 @@
         self.transport: asyncio.Transport | None = None
         self.exchange: Exchange | None = None
         self.parser: Any = None  # a new one for each exchange, so no state is left from the previous answer
+        self.answer_line = AnswerLine()
         self.headers: list[tuple[bytes, bytes]] = []
         self.body: list[bytes] = []
         self.bytes_received = self.body_size = 0  # of the current answer: on the wire, and of its body
@@ -275,6 +278,7 @@
         self.bytes_received += len(data)
         malformed = False
         try:
+            self.answer_line.on_data(data)
             self.parser.feed_data(data)
             # httptools buffers an endless header without an error, so the bytes are counted as they arrive.
             if self.pending_answer is None and self.bytes_received > (
@@ -338,6 +342,7 @@
 
     def on_headers_complete(self) -> None:
         """Checks how the length of the body is given. Raises ValueError if it is ambiguous or too large."""
+        self.answer_line.check_version(self.parser)
         code = self.parser.get_status_code()
         if 100 <= code < 200:
             return
@@ -384,6 +389,7 @@
         self.exchange_count += 1
         exchange.idle_for = self.idle_for
         self.parser = httptools.HttpResponseParser(self)
+        self.answer_line = AnswerLine()
         self.headers, self.body = [], []
         self.bytes_received = self.body_size = 0
         self.headers_complete = self.body_until_close = False
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -46,6 +46,11 @@
     "3 GB": OK + b"Content-Length: 3000000000\r\n\r\nhello",
     "huge length": OK + b"Content-Length: 99999999999999999999999999\r\n\r\nhello",
     "bad chunk": OK + b"Transfer-Encoding: chunked\r\n\r\nzz\r\nhello",
+    "HTTP/2.0": b"HTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/0.9": b"HTTP/0.9 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "RTSP/1.1": b"RTSP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "ICE/1.0": b"ICE/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/2.0 behind 1xx": b"HTTP/1.1 103 X\r\n\r\nHTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
     "upgrade": b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
 }
 ENDLESS_ANSWERS = {
@@ -98,6 +103,8 @@
 VALID_ANSWERS = {
     "1xx ahead": (b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n"
                   + OK + b"Content-Length: 2\r\n\r\nme", True),
+    "HTTP/1.0": (b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nme", False),
+    "HTTP/1.0, kept": (b"HTTP/1.0 200 OK\r\nConnection: keep-alive\r\nContent-Length: 2\r\n\r\nme", True),
     "chunks and a trailer": (OK + b"Transfer-Encoding: chunked\r\n\r\n2\r\nme\r\n0\r\nX-T: 1\r\n\r\n", True),
     "noise behind": (OK + b"Content-Length: 2\r\n\r\nme\x00\x01noise", False),
     "a copy behind": ((OK + b"Content-Length: 2\r\n\r\nme") * 2, False),
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -106,6 +106,24 @@
     return [listed.entry.state.value for listed in received.backends]
 
 
+@pytest.mark.parametrize("line", [b"HTTP/2.0", b"HTTP/0.9", b"RTSP/1.1"])
+def test_an_answer_of_another_protocol_is_no_list(line: bytes) -> None:
+    """Guards against lists that are read from what is no answer of HTTP/1."""
+
+    async def test() -> None:
+        peer = ScriptedDiscovery()
+        async with peer.client() as client:
+            client.watch(True)
+            call = await peer.next("/v1/servers?from=1&")
+            body = json.dumps(listing(2, endpoint("s-1", ADDRESS), snapshot=False)).encode()
+            call.writer.write(response(200, body).replace(b"HTTP/1.1", line))
+            while not peer.failures:
+                await asyncio.sleep(0)
+            assert peer.lists.empty()
+
+    run(test())
+
+
 def test_a_watch_is_renewed_early_enough_for_retries_before_silence_counts_as_notified() -> None:
     queue_time = 2.0  # seconds that a call may wait before it fails
     notified_after = discovery_module.HOLD_MS / 1000 + 2.0
