Drop a late second list of discovery instead of taking it as the answer to the next call

A list that discovery sends a second time, some milliseconds late, was taken as the answer to the watch that had been opened meanwhile, and so as proof that nothing had changed until it was read.

Cause: net/discovery_channel.py ties an answer to its call by their order alone, and the next call of a watch goes out at once, as it has to within 0.2 s. Ruled out as a mend: a pause, which would eat into the grace of a drain.

Change: an answer to a watch brings something newer than was asked for, or the full list, or comes when the hold has ended. One that does neither, within 1 s of the answer before it on the connection, is dropped, and the next call goes out on another connection.

Measured: the new test got the third call on the first connection before, and passes after; the tests of discovery, moves, leases, reloads and of the simulated fleet pass.

--- a/granitepoint/faults/turns.py
+++ b/granitepoint/faults/turns.py
@@ -147,6 +147,7 @@
     def __init__(self, service: DiscoveryService) -> None:
         self.service = service
         self.request_sent = False
+        self.previous_answer_at = -math.inf  # this service answers no call twice
         self.last_watch: tuple[Any, float] = (None, -math.inf)  # its address, and the time of its answer
 
     def close(self) -> None:
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -26,6 +26,7 @@
 from granitepoint.net.discovery_channel import Channel, classify_failure
 from granitepoint.net.listing import Listing, read_listing
 from granitepoint.net.logs import EventLogger
+from granitepoint.net.reuse_delay import MAX_REUSE_DELAY_S
 
 log = EventLogger(__name__)
 
@@ -299,6 +300,10 @@
             listing = read_listing(json.loads(body), self.start_times)
             now = time.monotonic()
             waited = now - call.started_at
+            if answers_previous_call(listing, call, now, channel.previous_answer_at):
+                log.info("list_out_of_turn", version=listing.version, held=self.version, waited_s=waited)
+                channel.close()
+                return True
             if (
                 lists_before != self.lists_received
                 and self.version is not None
@@ -375,6 +380,24 @@
             self.confirmed = True
 
 
+def answers_previous_call(
+    listing: Listing, call: DiscoveryCall, now: float, previous_answer_at: float
+) -> bool:
+    """Whether the answer read at `now` is a second answer to the call before on its connection.
+
+    An answer to a watch brings something newer, or the full list, or comes when the hold has ended. One that
+    does neither, soon after the previous answer on the connection (at `previous_answer_at`), belongs to the
+    call before: it would count as proof of a later moment than that of its writing. Times are monotonic.
+    """
+    nothing_newer = call.since_version is not None and listing.version <= call.since_version
+    return (
+        nothing_newer
+        and not listing.full
+        and now < call.started_at + call.hold
+        and now - previous_answer_at <= MAX_REUSE_DELAY_S
+    )
+
+
 def earliest_writing_time(listing: Listing, call: DiscoveryCall, now: float) -> float:
     """Returns the monotonic time at which, or after which, discovery wrote the answer read at `now`.
 
--- a/granitepoint/net/discovery_channel.py
+++ b/granitepoint/net/discovery_channel.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import time
 from typing import Any, cast
 
 import httptools
@@ -23,6 +25,8 @@
         self.answer: asyncio.Future[tuple[int, bytes]] | None = None  # of the call in progress: code and body
         self.parser: Any = None
         self.answer_line = AnswerLine()
+        self.answered_at = -math.inf  # monotonic, of the last answer on this connection
+        self.previous_answer_at = -math.inf  # the same, of the answer before the current call
         self.body = bytearray()
         self.bytes_received = 0  # of the current answer, on the wire
         self.request_sent = False  # by the current call; a failure after that is not a LOCAL_ERROR
@@ -31,6 +35,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport of the new connection."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's class does not inherit from it
+        self.answered_at = -math.inf
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Fails the call in progress, if there is one."""
@@ -62,6 +67,7 @@
 
     def on_message_complete(self) -> None:
         """Ends the call with its complete answer."""
+        self.answered_at = time.monotonic()
         if self.answer is not None and not self.answer.done():
             self.answer.set_result((self.parser.get_status_code(), bytes(self.body)))
         if not self.parser.should_keep_alive():
@@ -91,6 +97,7 @@
                     async with asyncio.timeout(CONNECT_TIMEOUT_S):
                         await loop.create_connection(lambda: self, *address)
                 assert self.transport is not None
+                self.previous_answer_at = self.answered_at
                 self.parser = httptools.HttpResponseParser(self)
                 self.answer_line = AnswerLine()
                 self.body.clear()
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -106,6 +106,28 @@
     return [listed.entry.state.value for listed in received.backends]
 
 
+def test_a_late_second_list_is_not_the_answer_to_the_next_call() -> None:
+    """Guards against a copy that counts as proof that nothing has changed since it was written: the next call
+    goes out on another connection."""
+
+    async def test() -> None:
+        peer = ScriptedDiscovery()
+        async with peer.client() as client:
+            client.watch(True)
+            first = await peer.next("/v1/servers?from=1&")
+            first.answer(2, endpoint("s-1", ADDRESS))
+            second = await peer.next("/v1/servers?from=2&")
+            first.answer(2, endpoint("s-1", ADDRESS))
+            third = await peer.next("/v1/servers?from=2&")
+            assert (first.connection, second.connection, third.connection) == (1, 1, 2)
+            third.answer(3, endpoint("s-1", ADDRESS, "Terminating"))
+            await peer.next("/v1/servers?from=3&")
+            assert [(await peer.lists.get()).version for _ in range(2)] == [2, 3]
+            assert peer.lists.empty() and not peer.failures
+
+    run(test())
+
+
 @pytest.mark.parametrize("line", [b"HTTP/2.0", b"HTTP/0.9", b"RTSP/1.1"])
 def test_an_answer_of_another_protocol_is_no_list(line: bytes) -> None:
     """Guards against lists that are read from what is no answer of HTTP/1."""
