Reject a request that has no Host or more than one

A request without Host, or with two, was forwarded as it came. HTTP/1.1 tells a server to answer it with 400: a sound backend does so, and the caller got 502; another one runs it, so that what is no proper request is served.

Cause: read_request in net/server.py looks at the headers that the proxy itself needs. Ruled out: the parser, which does not know which headers a request has to have.

Change: 400 for anything but one Host. Requests in tests and in the state machines that had none now have one.

--- a/granitepoint/modelcheck/proxy.py
+++ b/granitepoint/modelcheck/proxy.py
@@ -364,7 +364,12 @@
         self.request_count += 1
         id = f"{self.request_count:016d}"
         method = "GET" if cls.effect is Effect.REPEATABLE else "POST"
-        lines = [f"{method} /{cls.name} HTTP/1.1", f"X-Call-Id: {id}", f"X-Budget: {budget * 1e3:.0f}m"]
+        lines = [
+            f"{method} /{cls.name} HTTP/1.1",
+            "Host: x",
+            f"X-Call-Id: {id}",
+            f"X-Budget: {budget * 1e3:.0f}m",
+        ]
         lines += ["Idempotency-Key: k"] * (cls.effect is Effect.BY_KEY)
         lines += ["Content-Length: 4"] * (method == "POST") + ["Connection: close"] * close_requested
         data = ("\r\n".join(lines) + "\r\n\r\n" + "body" * (method == "POST")).encode()
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -137,6 +137,8 @@
         raise BadRequest(400, "the target is not a path")
     if any(CONTROL_CHARACTERS.search(value) for _, value in headers):
         raise BadRequest(400, "a header holds what a backend might not read")
+    if sum(name == b"host" for name, _ in headers) != 1:  # RFC 9112, section 3.2
+        raise BadRequest(400, "a request of HTTP/1.1 has one Host")
     cls = target[1:].split(b"?", 1)[0].split(b"/", 1)[0].decode("latin-1")
     effect = effects.get(cls)
     if effect is None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -30,7 +30,8 @@
 # From the end of the request target on; without the empty line that ends the head.
 COMMON_HEAD = b" HTTP/1.1\r\nHost: x\r\nX-Call-Id: 0011223344556677\r\nX-Budget: 500m\r\n"
 HIDDEN_REQUEST = (
-    b"POST /canje HTTP/1.1\r\nX-Call-Id: 8899aabbccddeeff\r\nX-Budget: 900m\r\nContent-Length: 0\r\n\r\n"
+    b"POST /canje HTTP/1.1\r\nHost: x\r\nX-Call-Id: 8899aabbccddeeff\r\nX-Budget: 900m\r\n"
+    b"Content-Length: 0\r\n\r\n"
 )
 CHUNKED = b"Transfer-Encoding: chunked\r\n"
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -39,7 +39,7 @@
 from granitepoint.net.server import KEEP_ALIVE_TIMEOUT_S, REQUEST_READ_TIMEOUT_S, Request, Server
 from granitepoint.simulator_adapter import read_settings
 
-STOCK_REQUEST = b"GET /stock HTTP/1.1\r\nX-Call-Id: %016d\r\nX-Budget: 9000m\r\n\r\n"
+STOCK_REQUEST = b"GET /stock HTTP/1.1\r\nHost: x\r\nX-Call-Id: %016d\r\nX-Budget: 9000m\r\n\r\n"
 
 
 class HoldingHandler:
@@ -394,7 +394,9 @@
 
             monkeypatch.setattr(upstream_module.Exchange, "run_on", disconnect_first)
             monkeypatch.setattr(upstream_module.Connection, "start_exchange", record)
-            head = b"POST /canje HTTP/1.1\r\nX-Call-Id: %s\r\nX-Budget: 6000m\r\n" % FIRST_ID.encode()
+            head = (
+                b"POST /canje HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nX-Budget: 6000m\r\n" % FIRST_ID.encode()
+            )
             caller.sendall(head + b"Content-Length: 0\r\n\r\n" + behind)
             await proxy.wait_until(lambda: started == last)
             await proxy.wait_until_disconnected()
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -352,7 +352,9 @@
     async def test() -> None:
         backend = Backend()
         async with proxy({"s-1": backend}) as node:
-            head = b"POST /reserva HTTP/1.1\r\nX-Call-Id:\t 0011223344556677 \r\nX-Budget: 500m\t\r\n"
+            head = (
+                b"POST /reserva HTTP/1.1\r\nHost: x\r\nX-Call-Id:\t 0011223344556677 \r\nX-Budget: 500m\t\r\n"
+            )
             caller = await node.caller()
             assert (await caller.raw(head + b"Idempotency-Key:  k \r\n" + framing)).code == 200
             seen = await next_call(backend)
--- a/tests/test_request_lines.py
+++ b/tests/test_request_lines.py
@@ -84,6 +84,24 @@
     run(test())
 
 
+@pytest.mark.parametrize("hosts", [b"", b"Host: x\r\nHost: x\r\n", b"Host: x\r\nHost: y\r\n"])
+def test_a_request_without_exactly_one_host_is_neither_run_nor_served(hosts: bytes) -> None:
+    """Guards against requests that HTTP/1.1 tells a server to reject and that a backend may not read."""
+
+    async def test() -> None:
+        handler = Recorder()
+        server = Server({"stock": Effect.REPEATABLE}, handler, 256, 64)
+        port = await server.listen("127.0.0.1", 0)
+        caller = Caller(*await asyncio.open_connection("127.0.0.1", port))
+        head = b"GET /stock HTTP/1.1\r\nX-Call-Id: 1\r\nX-Budget: 900m\r\n"
+        assert (await caller.raw(head + hosts + b"\r\n")).code == 400
+        assert (await caller.raw(head + b"Host: x\r\n\r\n")).code == 200
+        assert handler.ids == [b"1"]
+        server.stop_listening()
+
+    run(test())
+
+
 @pytest.mark.parametrize("step", [1, 2, 3, 7, 64, 1000])
 def test_proper_requests_in_pieces_of_any_size_are_all_taken(step: int) -> None:
     """Guards against a request whose begin is looked for in the middle of another one."""
