Let a late second full list prove nothing about the time since the first

A second copy of a full list, within 1 s of the first, was used as the answer to the next call and counted as written just before it was read. A change between the two counted as received, so a draining server could get requests for up to 1 s longer than it may, where the watch fell silent as well.

Cause: discovery may answer a watch with the full list at any time, so a copy can't be told from an answer, and earliest_writing_time took it for one. Ruled out: dropping it, which would drop answers too.

Change: a full list with nothing newer, before the hold has ended and within 1 s of the answer before it on the connection, is used, and counts as no newer than the list before it.

--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -110,6 +110,7 @@
         self.newest_call: DiscoveryCall | None = None  # of the watch; not a separate request of the full list
         self.confirmed = False  # a list has come since the watch was lost
         self.lists_received = 0
+        self.last_written_after = -math.inf  # monotonic; the last list was written then or later
         self._watch_task: asyncio.Task[None] | None = None
         # Calls of the watch in progress: the newest one, and earlier ones that were not answered in time.
         self._watch_calls: dict[asyncio.Task[bool], Channel] = {}
@@ -300,7 +301,8 @@
             listing = read_listing(json.loads(body), self.start_times)
             now = time.monotonic()
             waited = now - call.started_at
-            if answers_previous_call(listing, call, now, channel.previous_answer_at):
+            may_be_copy = may_answer_previous_call(listing, call, now, channel.previous_answer_at)
+            if may_be_copy and not listing.full:
                 log.info("list_out_of_turn", version=listing.version, held=self.version, waited_s=waited)
                 channel.close()
                 return True
@@ -314,7 +316,9 @@
             if self.moving and not self._continues_history(listing):
                 self.version = None
                 return True
-            listing.written_after = earliest_writing_time(listing, call, now)
+            listing.written_after = (
+                self.last_written_after if may_be_copy else earliest_writing_time(listing, call, now)
+            )
             listing.answers_newest_call = call is self.newest_call
             listing.service_time = self._service_time(listing, call, waited)
             self.on_list(listing)
@@ -364,6 +368,7 @@
         self.lists_received += 1
         self.version = listing.version
         if listing.written_after is not None:
+            self.last_written_after = listing.written_after
             self.move_deadlines.on_list(listing.written_after)
         self.backoff.succeeded(listing.service_time)
         if self.moving:
@@ -380,21 +385,19 @@
             self.confirmed = True
 
 
-def answers_previous_call(
+def may_answer_previous_call(
     listing: Listing, call: DiscoveryCall, now: float, previous_answer_at: float
 ) -> bool:
-    """Whether the answer read at `now` is a second answer to the call before on its connection.
+    """Whether the answer read at `now` may be a second answer to the call before on its connection.
 
-    An answer to a watch brings something newer, or the full list, or comes when the hold has ended. One that
-    does neither, soon after the previous answer on the connection (at `previous_answer_at`), belongs to the
-    call before: it would count as proof of a later moment than that of its writing. Times are monotonic.
+    An answer to a watch brings something newer, or the full list, or comes when the hold has ended. One with
+    nothing newer, soon after the previous answer on the connection (at `previous_answer_at`) and before the
+    hold has ended, belongs to the call before. Only a full list may be an answer to this call all the same.
+    Either proves nothing about the time since that answer. Times are monotonic.
     """
     nothing_newer = call.since_version is not None and listing.version <= call.since_version
     return (
-        nothing_newer
-        and not listing.full
-        and now < call.started_at + call.hold
-        and now - previous_answer_at <= MAX_REUSE_DELAY_S
+        nothing_newer and now < call.started_at + call.hold and now - previous_answer_at <= MAX_REUSE_DELAY_S
     )
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -128,6 +128,25 @@
     run(test())
 
 
+def test_a_late_second_full_list_proves_nothing_about_the_time_since_the_first() -> None:
+    """Guards against a copy that counts as newer than it is. Discovery may send a full list at any time, so
+    the copy can't be told from an answer, and is used."""
+
+    async def test() -> None:
+        peer = ScriptedDiscovery()
+        async with peer.client() as client:
+            client.watch(True)
+            first = await peer.next("/v1/servers?from=1&")
+            first.answer(2, endpoint("s-1", ADDRESS), snapshot=True)
+            original = await peer.lists.get()
+            await peer.next("/v1/servers?from=2&")
+            first.answer(2, endpoint("s-1", ADDRESS), snapshot=True)
+            copy = await peer.lists.get()
+            assert copy.full and copy.written_after == original.written_after
+
+    run(test())
+
+
 @pytest.mark.parametrize("line", [b"HTTP/2.0", b"HTTP/0.9", b"RTSP/1.1"])
 def test_an_answer_of_another_protocol_is_no_list(line: bytes) -> None:
     """Guards against lists that are read from what is no answer of HTTP/1."""
