--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -100,6 +100,28 @@
     run(test())
 
 
+def test_a_copy_that_comes_later_than_the_pause_is_not_the_answer_to_the_next_request() -> None:
+    """Guards against the same as above where the copy is the first that comes later than connections rest:
+    nothing in it tells that it is no answer to the request that is out."""
+
+    async def test() -> None:
+        backend = ScriptedBackend()
+        async with asyncio.timeout(TEST_TIMEOUT_S):
+            first = backend.start()
+            connection = await backend.accept()
+            await backend.receive(connection)
+            connection.sendall(response(200, b"first"))
+            assert (await first).body == b"first"
+            age_idle_connections(backend.upstreams.by_id[1], MIN_REUSE_DELAY_S)
+            second = backend.start()
+            await backend.receive(connection)
+            connection.sendall(response(200, b"first"))
+            assert (await second).body != b"first"
+        backend.close()
+
+    run(test())
+
+
 def test_a_rested_connection_is_used_again() -> None:
     """Guards against a connection for each request: only the pause after an answer is kept."""
 
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -101,6 +101,17 @@
     assert lease.valid(119.0) and not lease.valid(124.2)
 
 
+def test_an_outage_does_not_extend_the_lease_beyond_what_a_silent_watch_may_have_missed() -> None:
+    """A silent watch can't be told from one that has nothing to tell, also when it ends. What it missed
+    counts as known 2 s after the end of its hold, though discovery can't be reached by then."""
+    lease = lease_after_list()
+    lease.on_watch_opened(100.0, HOLD)
+    lease.on_failure(Failure.WATCH_LOST, 100.0, 117.0)
+    for called_at in (118.0, 121.0, 124.0):
+        lease.on_failure(Failure.REFUSED, called_at, called_at)
+    assert lease.expires_at <= 100.0 + HOLD + NOTIFIED_AFTER_HOLD + GRACE_MARGIN
+
+
 def test_a_watch_that_is_cut_soon_after_its_start_proves_nothing() -> None:
     """The answer with a change may have been queued."""
     lease = lease_after_list()
