--- a/granitepoint/fleet/proxies.py
+++ b/granitepoint/fleet/proxies.py
@@ -15,13 +15,14 @@
 from granitepoint import interface as api
 from granitepoint.fleet.measure import Histogram
 from granitepoint.logic import Balancer
+from granitepoint.net.backend_connection import LAST_BYTE_DELAY_S
 from granitepoint.net.config import Config
 from granitepoint.net.driver import Driver, OpenCall
+from granitepoint.net.exchange import Exchange
 from granitepoint.net.listener import Listener
 from granitepoint.net.listing import Listing
 from granitepoint.net.reuse_delay import MIN_REUSE_DELAY_S
 from granitepoint.net.server import ClientConnection, Reply, Request, Server
-from granitepoint.net.upstream import LAST_BYTE_DELAY_S, Exchange
 
 # The stages of a call in the proxy, in order:
 #   read:     from the first byte read until the request is accepted
--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -257,8 +257,7 @@
     """The watch of discovery failed, became silent or moved. Changes may be missed until the next list."""
 
     notified_within: float = math.inf  # time from now until the instance counts as notified of every change
-    # When discovery got a new address, on the clock of the event batches; None: it did not.
-    moved_at: float | None = None
+    moved_at: float | None = None  # when discovery got a new address, on the clock of the event batches
     silent: bool = False  # the watch stays open, and another call is made in parallel
 
 
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -21,18 +21,13 @@
 from granitepoint.membership.start_times import StartTimes
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import DiscoveryClient
+from granitepoint.net.exchange import Exchange
+from granitepoint.net.headers import HOP_BY_HOP_HEADERS
 from granitepoint.net.listing import Listing, read_listing
 from granitepoint.net.logs import EventLogger
 from granitepoint.net.server import Headers, Reply, Request
-from granitepoint.net.upstream import (
-    HOP_BY_HOP_HEADERS,
-    NEXT_LOOP_ITERATION_S,
-    STALL_THRESHOLD_S,
-    UPSTREAM_DESCRIPTOR_SHARE,
-    Exchange,
-    Upstream,
-    Upstreams,
-)
+from granitepoint.net.timing import NEXT_LOOP_ITERATION_S, STALL_THRESHOLD_S
+from granitepoint.net.upstream import UPSTREAM_DESCRIPTOR_SHARE, Upstream, Upstreams
 
 log = EventLogger(__name__)
 
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -15,16 +15,12 @@
 import httptools
 
 from granitepoint.interface import Effect
+from granitepoint.net.headers import HOP_BY_HOP_HEADERS, normalize_header
 from granitepoint.net.listener import Listener
 from granitepoint.net.logs import EventLogger
 from granitepoint.net.request_lines import BadRequest, RequestSplitter
-from granitepoint.net.upstream import (
-    HOP_BY_HOP_HEADERS,
-    NEXT_LOOP_ITERATION_S,
-    STALL_THRESHOLD_S,
-    UPSTREAM_DESCRIPTOR_SHARE,
-    normalize_header,
-)
+from granitepoint.net.timing import NEXT_LOOP_ITERATION_S, STALL_THRESHOLD_S
+from granitepoint.net.upstream import UPSTREAM_DESCRIPTOR_SHARE
 
 log = EventLogger(__name__)
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -27,10 +27,13 @@
 )
 
 from granitepoint.interface import ServerEntry, ServerState, Status
-from granitepoint.net import upstream as upstream_module
+from granitepoint.net import backend_connection
+from granitepoint.net.backend_connection import Connection
 from granitepoint.net.driver import read_report
+from granitepoint.net.exchange import Exchange
 from granitepoint.net.listing import ListedBackend, Listing
 from granitepoint.net.reuse_delay import MIN_REUSE_DELAY_S
+from granitepoint.net.upstream import Upstreams
 
 OK = b"HTTP/1.1 200 OK\r\n"
 MALFORMED_ANSWERS = {
@@ -176,34 +179,30 @@
         loop = asyncio.get_running_loop()
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
-        owner = upstream_module.Upstreams(1.0, 30.0, max_connections=10)
+        owner = Upstreams(1.0, 30.0, max_connections=10)
         entry = ServerEntry(server=1, state=ServerState.SERVING)
         owner.apply(Listing(1, True, [ListedBackend(listener.getsockname(), entry)]))
-        finished: asyncio.Queue[upstream_module.Exchange] = asyncio.Queue()
+        finished: asyncio.Queue[Exchange] = asyncio.Queue()
 
         def start() -> None:
             request = b"POST /canje HTTP/1.1\r\n\r\n"
-            owner.start(
-                upstream_module.Exchange(
-                    owner.by_id[1], lambda _: request, 5.0, lambda: True, finished.put_nowait
-                )
-            )
+            owner.start(Exchange(owner.by_id[1], lambda _: request, 5.0, lambda: True, finished.put_nowait))
 
         async with asyncio.timeout(TEST_TIMEOUT_S):
             if not answers_before:
                 # The connection breaks before the last byte.
-                monkeypatch.setattr(upstream_module, "LAST_BYTE_DELAY_S", TEST_TIMEOUT_S)
+                monkeypatch.setattr(backend_connection, "LAST_BYTE_DELAY_S", TEST_TIMEOUT_S)
             start()
             backend, _ = await loop.sock_accept(listener)
             for _ in range(answers_before):
                 await receive_request(backend)
                 backend.sendall(response(200, b"first"))
                 assert (await finished.get()).body == b"first"
-                monkeypatch.setattr(upstream_module, "LAST_BYTE_DELAY_S", TEST_TIMEOUT_S)
+                monkeypatch.setattr(backend_connection, "LAST_BYTE_DELAY_S", TEST_TIMEOUT_S)
                 age_idle_connections(owner.by_id[1], MIN_REUSE_DELAY_S)
                 start()
             assert await loop.sock_recv(backend, 1000)
-            monkeypatch.setattr(upstream_module, "LAST_BYTE_DELAY_S", 0.001)
+            monkeypatch.setattr(backend_connection, "LAST_BYTE_DELAY_S", 0.001)
             reset(backend)
             if answers_before:
                 backend, _ = await loop.sock_accept(listener)
@@ -225,16 +224,16 @@
     async def test() -> None:
         backend = await Backend().start()
         idle_times: asyncio.Queue[float] = asyncio.Queue()
-        owner = upstream_module.Upstreams(1.0, 30.0, 10, lambda _, idle_for: idle_times.put_nowait(idle_for))
+        owner = Upstreams(1.0, 30.0, 10, lambda _, idle_for: idle_times.put_nowait(idle_for))
         host, _, port = backend.address.rpartition(":")
         entry = ServerEntry(server=1, state=ServerState.SERVING)
         owner.apply(Listing(1, True, [ListedBackend((host, int(port)), entry)]))
-        finished: asyncio.Queue[upstream_module.Exchange] = asyncio.Queue()
+        finished: asyncio.Queue[Exchange] = asyncio.Queue()
 
         async def idle_time_of_next_exchange(max_idle_age: float) -> float | None:
             request = b"GET /stock HTTP/1.1\r\nX-Call-Id: 1\r\n\r\n"
             owner.start(
-                upstream_module.Exchange(
+                Exchange(
                     owner.by_id[1], lambda _: request, 5.0, lambda: True, finished.put_nowait, max_idle_age
                 )
             )
@@ -264,20 +263,20 @@
         loop = asyncio.get_running_loop()
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
-        owner = upstream_module.Upstreams(1.0, 30.0, max_connections=10)
+        owner = Upstreams(1.0, 30.0, max_connections=10)
         entry = ServerEntry(server=1, state=ServerState.SERVING)
         owner.apply(Listing(1, True, [ListedBackend(listener.getsockname(), entry)]))
-        finished: asyncio.Queue[upstream_module.Exchange] = asyncio.Queue()
+        finished: asyncio.Queue[Exchange] = asyncio.Queue()
 
         def start() -> None:
-            def done(exchange: upstream_module.Exchange) -> None:
+            def done(exchange: Exchange) -> None:
                 if finished.empty() and exchange.body == b"old":
                     backend.sendall(response(200, b"old"))
                     start()
                 finished.put_nowait(exchange)
 
             request = b"GET /stock HTTP/1.1\r\n\r\n"
-            owner.start(upstream_module.Exchange(owner.by_id[1], lambda _: request, 5.0, lambda: True, done))
+            owner.start(Exchange(owner.by_id[1], lambda _: request, 5.0, lambda: True, done))
 
         async with asyncio.timeout(TEST_TIMEOUT_S):
             start()
@@ -303,7 +302,7 @@
     async def test() -> None:
         backend = await Backend().start()
         host, _, port = backend.address.rpartition(":")
-        owner = upstream_module.Upstreams(0.02, 30.0, max_connections=10)
+        owner = Upstreams(0.02, 30.0, max_connections=10)
         owner.apply(Listing(1, True, [ListedBackend((host, int(port)), ServerEntry(server=1))]))
         connect = owner.loop.create_connection
 
@@ -314,13 +313,9 @@
             return await connecting
 
         monkeypatch.setattr(owner.loop, "create_connection", stalled)
-        finished: asyncio.Queue[upstream_module.Exchange] = asyncio.Queue()
+        finished: asyncio.Queue[Exchange] = asyncio.Queue()
         request = b"GET /stock HTTP/1.1\r\nX-Call-Id: 1\r\n\r\n"
-        owner.start(
-            upstream_module.Exchange(
-                owner.by_id[1], lambda _: request, 5.0, lambda: True, finished.put_nowait
-            )
-        )
+        owner.start(Exchange(owner.by_id[1], lambda _: request, 5.0, lambda: True, finished.put_nowait))
         async with asyncio.timeout(TEST_TIMEOUT_S):
             assert (await finished.get()).status is Status.OK
         await backend.stop()
@@ -331,10 +326,10 @@
 def test_bytes_before_the_last_byte_never_answer_the_request(monkeypatch: pytest.MonkeyPatch) -> None:
     """A second answer arrives between a request and its last byte, and the last byte is due before the event
     loop reads the socket: after a stall timers run first."""
-    start_exchange = upstream_module.Connection.start_exchange
+    start_exchange = Connection.start_exchange
     backends: list[socket.socket] = []
 
-    def stalled(connection: upstream_module.Connection, exchange: upstream_module.Exchange) -> None:
+    def stalled(connection: Connection, exchange: Exchange) -> None:
         start_exchange(connection, exchange)
         if connection.exchange_count == 2:
             backends[0].sendall(response(200, b"old"))
@@ -342,25 +337,21 @@
                 pass
             connection._send_last_byte(exchange)
 
-    monkeypatch.setattr(upstream_module.Connection, "start_exchange", stalled)
+    monkeypatch.setattr(Connection, "start_exchange", stalled)
 
     async def test() -> None:
         loop = asyncio.get_running_loop()
         listener = socket.create_server(("127.0.0.1", 0))
         listener.setblocking(False)
-        owner = upstream_module.Upstreams(1.0, 30.0, max_connections=10)
+        owner = Upstreams(1.0, 30.0, max_connections=10)
         entry = ServerEntry(server=1, state=ServerState.SERVING)
         owner.apply(Listing(1, True, [ListedBackend(listener.getsockname(), entry)]))
-        finished: asyncio.Queue[upstream_module.Exchange] = asyncio.Queue()
+        finished: asyncio.Queue[Exchange] = asyncio.Queue()
         request = b"GET /stock HTTP/1.1\r\n\r\n"
         async with asyncio.timeout(TEST_TIMEOUT_S):
             for body in (b"old", b"new"):
                 upstream = owner.by_id[1]
-                owner.start(
-                    upstream_module.Exchange(
-                        upstream, lambda _: request, 5.0, lambda: True, finished.put_nowait
-                    )
-                )
+                owner.start(Exchange(upstream, lambda _: request, 5.0, lambda: True, finished.put_nowait))
                 backend, _ = await loop.sock_accept(listener)
                 backends.append(backend)
                 await receive_request(backend)
@@ -381,18 +372,18 @@
     async def test() -> None:
         loop = asyncio.get_running_loop()
         listener = socket.create_server(("127.0.0.1", 0))
-        owner = upstream_module.Upstreams(1.0, 30.0, max_connections=10)
+        owner = Upstreams(1.0, 30.0, max_connections=10)
         entry = ServerEntry(server=1, state=ServerState.SERVING)
         owner.apply(Listing(1, True, [ListedBackend(listener.getsockname(), entry)]))
-        finished: asyncio.Future[upstream_module.Connection] = loop.create_future()
+        finished: asyncio.Future[Connection] = loop.create_future()
 
-        def done(exchange: upstream_module.Exchange) -> None:
+        def done(exchange: Exchange) -> None:
             connection = next(iter(owner.by_id[1].connections))
             assert isinstance(connection.parser, httptools.HttpResponseParser)
             finished.set_result(connection)
 
         request = b"GET / HTTP/1.1\r\n\r\n"
-        owner.start(upstream_module.Exchange(owner.by_id[1], lambda _: request, 0.05, lambda: True, done))
+        owner.start(Exchange(owner.by_id[1], lambda _: request, 0.05, lambda: True, done))
         async with asyncio.timeout(TEST_TIMEOUT_S):
             connection = await finished
             while connection.transport is not None:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -32,9 +32,11 @@
 from granitepoint import __main__ as proxy_main
 from granitepoint.__main__ import drain
 from granitepoint.interface import Effect, Status
-from granitepoint.net import upstream as upstream_module
+from granitepoint.net import backend_connection
+from granitepoint.net.backend_connection import Connection
 from granitepoint.net.config import Config, flatten_settings
 from granitepoint.net.driver import Driver
+from granitepoint.net.exchange import Exchange
 from granitepoint.net.listing import read_listing
 from granitepoint.net.server import KEEP_ALIVE_TIMEOUT_S, REQUEST_READ_TIMEOUT_S, Request, Server
 from granitepoint.simulator_adapter import read_settings
@@ -287,7 +289,7 @@
             (exchange,) = proxy.driver.in_flight.values()
             assert exchange.send_deadline < exchange.started_at + 6.0  # the deduplication window of the class
             if moment == "before its last byte":
-                monkeypatch.setattr(upstream_module, "LAST_BYTE_DELAY_S", TEST_TIMEOUT_S)
+                monkeypatch.setattr(backend_connection, "LAST_BYTE_DELAY_S", TEST_TIMEOUT_S)
                 connect_allowed.set()
                 await proxy.wait_until(lambda: exchange.connection is not None)
                 exchange.send_deadline = 0.0
@@ -374,13 +376,11 @@
             caller = socket.create_connection(("127.0.0.1", proxy.port))
             started, written_requests = 0, []
             run_on, start_exchange = (
-                upstream_module.Exchange.run_on,
-                upstream_module.Connection.start_exchange,
+                Exchange.run_on,
+                Connection.start_exchange,
             )
 
-            def disconnect_first(
-                exchange: upstream_module.Exchange, connection: upstream_module.Connection
-            ) -> None:
+            def disconnect_first(exchange: Exchange, connection: Connection) -> None:
                 nonlocal started
                 if FIRST_ID.encode() in exchange.build_request(1.0):
                     started += 1
@@ -388,12 +388,12 @@
                         end(caller)
                 run_on(exchange, connection)
 
-            def record(connection: upstream_module.Connection, exchange: upstream_module.Exchange) -> None:
+            def record(connection: Connection, exchange: Exchange) -> None:
                 written_requests.append(exchange.build_request(1.0))
                 start_exchange(connection, exchange)
 
-            monkeypatch.setattr(upstream_module.Exchange, "run_on", disconnect_first)
-            monkeypatch.setattr(upstream_module.Connection, "start_exchange", record)
+            monkeypatch.setattr(Exchange, "run_on", disconnect_first)
+            monkeypatch.setattr(Connection, "start_exchange", record)
             head = (
                 b"POST /canje HTTP/1.1\r\nHost: x\r\nX-Call-Id: %s\r\nX-Budget: 6000m\r\n" % FIRST_ID.encode()
             )
--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -11,6 +11,7 @@
 from netkit import TEST_TIMEOUT_S, age_idle_connections, response, run
 
 from granitepoint.interface import ServerEntry, Status
+from granitepoint.net.exchange import Exchange
 from granitepoint.net.listing import ListedBackend, Listing
 from granitepoint.net.reuse_delay import (
     EXTENSION_S,
@@ -19,7 +20,7 @@
     MIN_REUSE_DELAY_S,
     ReuseDelay,
 )
-from granitepoint.net.upstream import Exchange, Upstreams
+from granitepoint.net.upstream import Upstreams
 
 REQUEST = b"GET /stock HTTP/1.1\r\n\r\n"
 
