--- a/review/rig2.py
+++ b/review/rig2.py
@@ -196,6 +196,12 @@
             watch.silent = True
         self.record.add(f"{len(self.watches)} open watches fall silent")
 
+    async def write_list(self, writer: asyncio.StreamWriter, body: bytes) -> bool:
+        """Writes an answer; returns whether the connection stays open."""
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+        await writer.drain()
+        return True
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Answers the calls of one connection in turn."""
         while True:
@@ -216,8 +222,8 @@
             body = self.listing(since)
             self.written.append((now(), self.version))
             self.record.add(f"discovery writes version {self.version} (asked since {since}, hold {hold:.2f})")
-            writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
-            await writer.drain()
+            if not await self.write_list(writer, body):
+                return
 
 
 @dataclass(slots=True)
