--- a/granitepoint/cli/explain.py
+++ b/granitepoint/cli/explain.py
@@ -193,9 +193,7 @@
                 SECONDS,
                 "at most, while discovery refuses connections",
             ),
-            Entry(
-                "list used for", list_lease.NOTIFIED_AFTER, SECONDS, "after the last proof that it is current"
-            ),
+            Entry("list used for", list_lease.NOTIFIED_AFTER, SECONDS, "after the last answer of discovery"),
             Entry(
                 "doubted",
                 logic.STALE_LIST_INTERVAL,
--- a/granitepoint/faults/turns.py
+++ b/granitepoint/faults/turns.py
@@ -292,7 +292,7 @@
     originals = {name: names[name] for name in ("time", "Channel", "log")}
     names["time"] = SimpleNamespace(monotonic=loop.time)
     names["Channel"] = lambda: ModelChannel(service)
-    names["log"] = SimpleNamespace(info=_ignore, warning=_ignore)
+    names["log"] = SimpleNamespace(debug=_ignore, info=_ignore, warning=_ignore)
     try:
         yield
     finally:
--- a/granitepoint/interface.py
+++ b/granitepoint/interface.py
@@ -276,7 +276,6 @@
     failure: Failure
     started_at: float
     ended_at: float
-    older_call_open: bool = False  # an earlier call is still in progress
 
 
 @dataclass(slots=True)
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -343,8 +343,8 @@
         self.open_latency, self.new_latency = RunningMean(1.0), RunningMean(1.0)
 
     def apply_list(self, event: ServerList, now: float) -> None:
-        """Updates the known servers and the pool from a list; a failed one changes nothing."""
-        if event.kind is ListKind.FAILED:
+        """Updates the known servers and the pool from a list, unless it failed or has no changes."""
+        if event.kind is ListKind.FAILED or (event.kind is ListKind.INCREMENTAL and not event.entries):
             return
         listed_ids = set()
         for entry in event.entries:
@@ -671,9 +671,7 @@
                 self.list_lease.on_watch_opened(event.started_at, event.hold)
             elif type(event) is DiscoveryFailed:
                 self.last_watch_call_at = event.started_at
-                self.list_lease.on_failure(
-                    event.failure, event.started_at, event.ended_at, event.older_call_open
-                )
+                self.list_lease.on_failure(event.failure, event.started_at, event.ended_at)
             elif type(event) is IdleConnectionClosed:
                 self.servers.lower_max_idle_age(event.idle_for)
             elif type(event) is Gone:
--- a/granitepoint/membership/backoff.py
+++ b/granitepoint/membership/backoff.py
@@ -10,8 +10,8 @@
 answer every instance, estimated from the shortest time that an answer took: the service may only have been
 down, and all instances have to get an answer soon after its return.
 
-A refused connection costs the service nothing, and each one proves that the service is down. So these pauses
-stay short compared to the time for which a list may be used after such a proof.
+A refused connection costs the service nothing, so these pauses stay short: a list is needed soon after the
+service returns.
 """
 
 from __future__ import annotations
@@ -57,7 +57,6 @@
     Failure.IMMEDIATE: REJECTED,
     Failure.REFUSED: UNREACHABLE,
     Failure.WATCH_LOST: DISCONNECTED,
-    Failure.WATCH_CUT: DISCONNECTED,
     Failure.LOCAL_ERROR: UNREACHABLE,
 }
 
--- a/granitepoint/membership/list_lease.py
+++ b/granitepoint/membership/list_lease.py
@@ -4,9 +4,15 @@
 whether its calls were answered or not: from then on it must not send according to an older list. So a list
 may be used for that time after the latest moment up to which the proxy is known to have missed no change.
 
-Only proof moves that moment forward: a list, a watch that stays open, or a discovery that nobody could reach.
-A queued call, silence, a passed health check or the passing of time proves nothing. Without a valid lease
-nothing is sent: requests wait for a list during a part of their time and are then refused.
+Only proof moves that moment forward: a list, or a refused connection where no watch has been open since the
+last list. A watch may fall silent, and what a silent one misses can't be told from a list that does not
+change. So a watch proves nothing by staying open or by its end, and no later failure makes up for that. A
+queued call, a passed health check or the passing of time proves nothing either. Without a valid lease nothing
+is sent: requests wait for a list during a part of their time and are then refused.
+
+While a watch is open, what it may have missed counts some time after the end of its hold. Once a call has
+failed, every change counts NOTIFIED_AFTER after discovery had it, so the lease counts from the last list. To
+bridge short outages all the same, discovery is asked to answer often (net/discovery.py).
 """
 
 from __future__ import annotations
@@ -41,6 +47,7 @@
         self.answered_at = -math.inf  # when the last list came; -inf: none came from the current address
         # While a watch is open: until then the proxy does not count as notified of changes that it missed.
         self.watch_valid_until = -math.inf
+        self.watched_since_list = False  # a watch has been open since the last list
         self.move_deadlines = MoveDeadlines()
         # Until the first list from a new address: until when the list from the old one may be used.
         self.old_list_until: float | None = None
@@ -74,6 +81,7 @@
         self.answered_at = answered_at
         if answers_newest_call:
             self.watch_valid_until = -math.inf
+            self.watched_since_list = False
         self.old_list_until = None
         self.move_deadlines.on_list(written_after)
 
@@ -85,24 +93,16 @@
         """
         if started_at - self.answered_at <= MAX_WATCH_GAP:
             self.watch_valid_until = started_at + max(NOTIFIED_AFTER, hold + NOTIFIED_AFTER_HOLD)
+            self.watched_since_list = True
 
-    def on_failure(
-        self, failure: Failure, started_at: float, ended_at: float, older_call_open: bool = False
-    ) -> None:
-        """The newest call failed, which was noticed at `ended_at`.
-
-        `older_call_open`: an earlier call is still open.
-        """
+    def on_failure(self, failure: Failure, started_at: float, ended_at: float) -> None:
+        """The newest call failed, which was noticed at `ended_at`. An earlier one may still be open."""
         # An error answer does not prove that discovery is unreachable, whatever it says and however soon it
-        # comes: see Failure.
-        if failure is Failure.REFUSED:
+        # comes.
+        if failure is Failure.REFUSED and not self.watched_since_list:
             self._extend_verified(started_at)
-        elif failure is Failure.WATCH_LOST:
-            self._extend_verified(ended_at)
-        if older_call_open:
-            self.watch_valid_until = min(self.watch_valid_until, started_at + NOTIFIED_AFTER)
-        else:
-            self.watch_valid_until = -math.inf
+        # What the watch missed did not count while it was open, so the lease does not end in the past.
+        self.watch_valid_until = min(self.watch_valid_until, ended_at)
 
     def _extend_verified(self, moment: float) -> None:
         """Moves `verified_until` forward, unless the lease has ended by then.
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -30,11 +30,12 @@
 
 log = EventLogger(__name__)
 
-# Time without an answer after which the next call of the watch is made, as the connection may be dead.
-RENEW_AFTER_S = 18.0
-# How long discovery may leave a call of a watch unanswered while nothing changes. A change that a dead watch
-# misses counts as notified 2 s after this time.
-HOLD_MS = 25_000
+# How long discovery may leave a call of a watch unanswered while nothing changes. Each answer renews the
+# lease on the list, so this is how much of the lease may have passed when discovery goes down.
+HOLD_MS = 500
+# Time without an answer after which the next call of the watch is made, as the connection may be dead. A
+# change at the end of the hold may wait in the queue of discovery until then.
+RENEW_AFTER_S = 3.0
 # The same while the list is unconfirmed: short, as the lease on the list ends unless an answer renews it.
 CONFIRM_HOLD_MS = 50
 # From the end of the hold of a call that covers the deadline of a move: then another call is made beside it.
@@ -68,7 +69,6 @@
     started_at: float  # monotonic
     hold: float = 0.0  # seconds for which discovery may leave it unanswered while nothing changes
     continued: bool = False  # it follows the answer of a watch directly, and continues that watch
-    previous_unqueued: bool = False  # the previous answer came without a wait in discovery's queue
     since_version: int | None = None  # changes since this version are requested; None: the full list
     is_watch: bool = True  # False for a separate request of the full list
 
@@ -106,7 +106,6 @@
         self.backoff = Backoff(random, instances=instances, phase=random.random())
         self.last_failure = Failure.SILENT
         self.last_answer_at = -math.inf  # monotonic, of the last list on a watch
-        self.last_answer_unqueued = False  # it had not waited in the queue of discovery
         self.newest_call: DiscoveryCall | None = None  # of the watch; not a separate request of the full list
         self.confirmed = False  # a list has come since the watch was lost
         self.lists_received = 0
@@ -184,11 +183,11 @@
     async def _run_watch(self) -> None:
         """Makes the calls of a watch, one after another.
 
-        A dead watch can't be told from a list that does not change. So a call that is not answered within
-        RENEW_AFTER_S is followed by another one beside it, early enough for a retry before what a dead watch
-        has missed counts as notified. The earlier call stays open until it ends, as discovery may still
-        answer it. After a move one call is held until the deadline of the move, so that its answer, even if
-        nothing has changed, covers all changes until then.
+        A dead watch can't be told from a list that does not change until its hold has ended. So the hold is
+        short, and a call that is not answered within RENEW_AFTER_S is followed by another one beside it,
+        early enough to be answered before what a dead watch has missed counts as notified. The earlier call
+        stays open until it ends, as discovery may still answer it. After a move one call is held until the
+        deadline of the move, so that its answer, even if nothing has changed, covers all changes until then.
         """
         loop = asyncio.get_running_loop()
         calls = self._watch_calls
@@ -199,9 +198,7 @@
                 hold = self._next_hold()
                 timeout = self._next_timeout(hold)
                 continued = time.monotonic() - self.last_answer_at <= MAX_WATCH_GAP
-                call = DiscoveryCall(
-                    time.monotonic(), hold, continued, self.last_answer_unqueued, self._since_version()
-                )
+                call = DiscoveryCall(time.monotonic(), hold, continued, self._since_version())
                 self.newest_call = call
                 if not was_moving:
                     self.on_evidence(WatchOpened(call.started_at, hold))
@@ -224,9 +221,7 @@
                     continue
                 self._watch_lost()
                 ended_at = time.monotonic()
-                self.on_evidence(
-                    DiscoveryFailed(self.last_failure, call.started_at, ended_at, older_call_open=bool(calls))
-                )
+                self.on_evidence(DiscoveryFailed(self.last_failure, call.started_at, ended_at))
                 if self.pushed:
                     await asyncio.sleep(self._shortened(PUSH_RETRY_DELAY_S, PUSH_RETRY_JITTER))
                 elif calls or (was_moving and tries < MAX_MOVE_TRIES):
@@ -325,16 +320,15 @@
         except Exception as error:
             error_text = str(error) or type(error).__name__
             waited = time.monotonic() - call.started_at
-            self.last_failure = classify_failure(
-                error, channel.request_sent, waited, call.continued, call.previous_unqueued
-            )
+            self.last_failure = classify_failure(error, channel.request_sent, waited, call.continued)
             log.warning(
                 "discovery_failed", discovery="{}:{}".format(*self.address), fault=error_text,
                 waited_s=waited, held=held_version, evidence=self.last_failure.value,
                 continued=call.continued,
             )  # fmt: skip
             return False
-        log.info(
+        unchanged = not listing.full and not listing.backends
+        (log.debug if unchanged else log.info)(
             "list_taken", version=listing.version, held=held_version, whole=listing.full,
             entries=len(listing.backends), answered_bytes=len(body), waited_s=waited,
         )  # fmt: skip
@@ -379,9 +373,6 @@
         self.history.record(None if listing.full else call.since_version, listing.version, servers)
         if call.is_watch:
             self.last_answer_at = now
-            self.last_answer_unqueued = (
-                listing.service_time is not None and listing.service_time <= IMMEDIATE_FAILURE_TIME
-            )
             self.confirmed = True
 
 
--- a/granitepoint/net/discovery_channel.py
+++ b/granitepoint/net/discovery_channel.py
@@ -115,13 +115,11 @@
             self.answer = None
 
 
-def classify_failure(
-    error: Exception, request_sent: bool, waited: float, continued: bool, previous_unqueued: bool = False
-) -> Failure:
-    """Returns what the failure of a call to discovery is evidence of.
+def classify_failure(error: Exception, request_sent: bool, waited: float, continued: bool) -> Failure:
+    """Returns how a call to discovery failed.
 
     `request_sent`: the request had been written. `waited`: seconds from the start of the call to its failure.
-    `continued` and `previous_unqueued` are passed to `classify`.
+    `continued` is passed to `classify`.
     """
     if isinstance(error, ConnectionRefusedError):
         return Failure.REFUSED
@@ -131,4 +129,4 @@
         return Failure.LOCAL_ERROR  # a local, usually temporary problem: no socket, no port, no route
     if isinstance(error, OSError) and not isinstance(error, ConnectionError):
         return Failure.SILENT  # the connection broke because the other side did not respond
-    return classify(waited, continued, previous_unqueued)
+    return classify(waited, continued)
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -287,7 +287,8 @@
                     "server_listed", backend="{}:{}".format(*listed.address), state=listed.entry.state.value,
                     version=listing.version,
                 )  # fmt: skip
-        self.upstreams.apply(listing)
+        if listing.full or listing.backends:
+            self.upstreams.apply(listing)
         kind = api.ListKind.FULL if listing.full else api.ListKind.INCREMENTAL
         self._enqueue(self._server_list(listing, kind))
 
