--- a/granitepoint/cli/explain.py
+++ b/granitepoint/cli/explain.py
@@ -151,7 +151,7 @@
         Entry("cold budget, first", _rounded(first_budget), "parts",
               "of the server's share of the peak rate, at its start"),
         Entry("cold budget, last", _rounded(last_budget), "parts", "the same, at the end of the slow start"),
-        Entry("a server's part", _rounded(mean_share), "share", "of the calls, for a server of mean weight"),
+        Entry("a server's part", _rounded(mean_share), "share", "of the calls, for a server of mean size"),
         Entry("ejected for", logic.BASE_EJECTION, SECONDS, f"then doubled, up to {logic.MAX_EJECTION:g} s"),
     ])  # fmt: skip
 
--- a/granitepoint/cli/schema.py
+++ b/granitepoint/cli/schema.py
@@ -317,7 +317,7 @@
     ] = []
     weights: Annotated[
         Literal["off", "nominal", "rough", "live"],
-        _meta("what a listed weight means", attribute="weights", no_effect="weights are used as listed"),
+        _meta("what a listed weight means: nothing, a size, or a size over a load", attribute="weights"),
     ] = "nominal"
     worth_by: Annotated[
         Literal["request", "work"],
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -44,6 +44,7 @@
 from granitepoint.membership.evidence import IMMEDIATE_FAILURE_TIME, Failure
 from granitepoint.membership.health_checks import HealthLeases
 from granitepoint.membership.list_lease import ListLease
+from granitepoint.server_sizes import ServerSize, cold_budget_share
 
 # -- tunables ------------------------------------------------------------------------------------------
 TICK = 0.05  # s between control steps: the shortest calls whose balancing matters take several of these
@@ -87,7 +88,7 @@
 FAILURE_RATE_WEIGHT = 0.3  # weight of the newest answer in a server's failure rate, from 0 to 1, for a class
 FAILURE_RATE_DECAY_TIME = 5.0  # s, time constant of that rate without answers: the server is tried again
 COLD_BUDGET_SHARE = 0.5  # of Settings.fall_multiple: what all instances together send to a cold server
-PEAK_RATE_DECAY_TIME = 60.0  # s, of the peak send rate per unit of weight: long compared to a slow start
+PEAK_RATE_DECAY_TIME = 60.0  # s, of the peak send rate per unit of size: long compared to a slow start
 STALE_LIST_JITTER = 2.0  # s over which instances spread their new watches: all suspect the list at once
 STALE_LIST_INTERVAL = 8.0  # s after a watch or a list before a stale list is suspected and the watch renewed
 MIN_IDLE_AGE = 0.2  # s; a connection that was idle for less was lost for another reason than its idleness
@@ -285,9 +286,12 @@
 class Server:
     """A listed server and what this instance has learned of it."""
 
-    def __init__(self, entry: ServerEntry, slow_start_tokens: float) -> None:
+    def __init__(self, entry: ServerEntry, slow_start_tokens: float, weights: str = "nominal") -> None:
+        """`weights`: the meaning of weights, as in Settings.weights."""
         self.id = entry.server
         self.slow_start_tokens = slow_start_tokens  # attempts that may be sent to it while it is cold
+        self.listed_size = ServerSize(weights)
+        self.listed_size.on_weight(entry.weight, None)
         self.update(entry)
         self.in_flight = 0  # attempts of this instance
         self.ejected_until = 0.0  # 0: not ejected
@@ -301,8 +305,12 @@
     def update(self, entry: ServerEntry) -> None:
         """Copies what the list says of the server."""
         self.zone, self.cell, self.state = entry.zone, entry.cell, entry.state
-        self.weight, self.started_at = max(entry.weight, 1e-3), entry.started_at
-        self.slow_start_from = entry.started_at
+        self.started_at = self.slow_start_from = entry.started_at
+
+    @property
+    def size(self) -> float:
+        """Its size, as far as it is known; only the proportions to other servers have a meaning."""
+        return self.listed_size.estimate
 
     def reset_statistics(self) -> None:
         """Discards what was learned, for a new or restarted process."""
@@ -332,10 +340,11 @@
         self.known: dict[int, Server] = {}
         self.pool: list[Server] = []
         self.mean_load = RunningMean(1.0)
-        self.zone_load: dict[str, RunningMean] = {}  # reported calls per unit of weight
+        self.zone_load: dict[str, RunningMean] = {}  # reported calls per unit of size
+        self.live_weights = settings.weights == "live"
         self.error_rate = RunningMean(0.0)
-        self.send_rate = self.peak_rate = 0.0  # attempts per s; their peak per s and unit of weight
-        self.pool_weight = 0.0  # weight of the pool, smoothed
+        self.send_rate = self.peak_rate = 0.0  # attempts per s; their peak per s and unit of size
+        self.pool_size = 0.0  # size of the pool, smoothed; the number of its servers where weights are live
         self.mean_latency = 0.1  # s, of a call
         self.latency_objective = max(cls.aim for cls in settings.classes)  # s
         self.max_idle_age = settings.conn_idle  # s without use after which a connection is not relied on
@@ -352,12 +361,17 @@
             server = self.known.get(entry.server)
             if server is None:
                 if entry.state is not ServerState.GONE:
-                    self.known[entry.server] = Server(entry, self.random.random())
+                    server = Server(entry, self.random.random(), self.settings.weights)
+                    if self.slow_start_share(server, now) < 1:
+                        server.listed_size.on_restart()
+                    self.known[entry.server] = server
                 continue
             restarted = entry.started_at > server.started_at
             slow_start_from = server.slow_start_from
             server.update(entry)
+            server.listed_size.on_weight(entry.weight, self.held_requests(server))
             if restarted:
+                server.listed_size.on_restart()
                 server.reset_statistics()
                 server.slow_start_tokens = self.random.random()
                 server.ejected_until, server.on_probation = 0.0, False
@@ -419,26 +433,38 @@
         """Refills the tokens of cold servers over `span` s. A cold server looks idle to all instances: each
         may send no more than its fair share of what the server can serve by now, so that all together stay
         within the budget of any time window."""
-        weight = sum(server.weight for server in self.pool)
+        size = sum(1.0 if self.live_weights else server.size for server in self.pool)
         multiple = COLD_BUDGET_SHARE * self.settings.fall_multiple
         # Smoothed like the send rate: what went to many servers is no measure of what the few left can serve.
-        self.pool_weight += (weight - self.pool_weight) * (
-            min(1.0, span / AVERAGING_TIME) if self.pool_weight else 1.0
+        self.pool_size += (size - self.pool_size) * (
+            min(1.0, span / AVERAGING_TIME) if self.pool_size else 1.0
         )
         # The peak, not the current rate: otherwise few sends would allow even fewer, and a fleet in a rolling
         # restart would stay cold.
-        current_rate = self.send_rate / self.pool_weight if self.pool_weight else 0.0
+        current_rate = self.send_rate / self.pool_size if self.pool_size else 0.0
         self.peak_rate = max(current_rate, self.peak_rate * (1 - span / PEAK_RATE_DECAY_TIME))
         for server in self.pool:
             share = self.slow_start_share(server, now)
             if share < 1:
-                rate = self.peak_rate * server.weight * share * multiple
+                rate = self.peak_rate * self.cold_budget_size(server) * share * multiple
                 server.slow_start_tokens = min(1.0 + rate * TICK, server.slow_start_tokens + rate * span)
 
+    def cold_budget_size(self, server: Server) -> float:
+        """The size by which the budget of a cold server is counted, in the unit of `pool_size`."""
+        if not self.live_weights:
+            return server.size
+        return cold_budget_share(server.listed_size, [other.listed_size for other in self.pool])
+
+    def held_requests(self, server: Server) -> float | None:
+        """How many requests a server holds, of all instances together; None if that is not known."""
+        if server.reported_at > -math.inf:
+            return server.reported_load
+        return server.in_flight * self.settings.balancers if server.in_flight else None
+
     @property
-    def mean_weight(self) -> float:
-        """Mean weight of the pool, which must not be empty."""
-        return sum(server.weight for server in self.pool) / len(self.pool)
+    def mean_size(self) -> float:
+        """Mean size of the pool, which must not be empty."""
+        return sum(server.size for server in self.pool) / len(self.pool)
 
     def usable(self, server: Server, now: float) -> bool:
         """Whether a server's health, connection limit and slow start allow a further attempt now."""
@@ -459,7 +485,7 @@
         expected = server.smoothed_load
         if zone is not None:
             age = server.reported_at - now  # negative
-            expected = zone.value * server.weight
+            expected = zone.value * server.size
             expected += (server.smoothed_load - expected) * math.exp(age / (LOAD_DECAY_RATIO * decay_time))
         load = expected + server.net_sends_since_report
         if server.reported_load != expected:
@@ -489,17 +515,17 @@
         best: Server | None = None
         best_cost = best_load = math.inf
         tried = {attempt.server.id for attempt in call.attempts}
-        mean_weight = self.mean_weight if self.pool else 1.0
+        mean_size = self.mean_size if self.pool else 1.0
         crossing = CROSSING_FACTOR * self.settings.price_crossing * self.latency_objective / self.mean_latency
         connect_cost = self.connect_cost
         zone = self.settings.zone
-        prior = PRIOR_COUNT * self.mean_load.value / mean_weight
+        prior = PRIOR_COUNT * self.mean_load.value / mean_size
         pool_rate = self.pool_failure_rate(call.cls, now)
         for server in self.pool:
             if not self.usable(server, now):
                 continue
             load = self.load(server, now)
-            cost = (load + 1) * (PRIOR_COUNT + server.latency_sum) / (prior * server.weight + server.load_sum)
+            cost = (load + 1) * (PRIOR_COUNT + server.latency_sum) / (prior * server.size + server.load_sum)
             if server.slow_start_from > 0:
                 cost /= self.slow_start_share(server, now)
             if server.zone != zone:
@@ -599,7 +625,8 @@
         server.smoothed_load += (load - server.smoothed_load) * (0.3 if server.reported_at > 0 else 1.0)
         server.reported_load = load
         zone = self.zone_load.setdefault(server.zone, RunningMean(0.0))
-        zone.add(load / server.weight, ZONE_LOAD_SAMPLES)
+        server.listed_size.on_report(load)
+        zone.add(load / server.size, ZONE_LOAD_SAMPLES)
         server.reported_at = now
         server.net_sends_since_report = 0
 
--- a/granitepoint/modelcheck/cold.py
+++ b/granitepoint/modelcheck/cold.py
@@ -35,6 +35,10 @@
         may_probe=st.booleans(),
         seed=st.integers(0, 9999),
         warm_up=st.sampled_from([3.0, 8.0]),
+        weights=st.sampled_from(["none", "live", "rough", "nominal"]),
+        sizes=st.sampled_from([(1.0,), (1.0, 0.2), (2.0, 1.0, 0.5), (1.0, 10.0)]),
+        cores=st.sampled_from([1, 4]),
+        next_tier_latency=st.sampled_from([0.0, 1.2]),
     )
     def begin(
         self,
@@ -46,19 +50,25 @@
         may_probe: bool,
         seed: int,
         warm_up: float,
+        weights: str,
+        sizes: tuple[float, ...],
+        cores: int,
+        next_tier_latency: float,
     ) -> None:
         """Builds the fleet and runs it for `warm_up` seconds.
 
-        `window` is the initial concurrency limit of each instance.
+        `window` is the initial concurrency limit of each instance. `weights` is the meaning of weights; where
+        they say nothing, all servers have the same size.
         """
         settings: dict[str, object] = {
             "max_attempts": 3, "may_cancel": True, "may_duplicate": True, "may_probe": may_probe,
             "price_probe": 0.06, "reports": "probe" if may_probe else "none",
-            "cold_from": 0.39, "cold_for": 8.1, "fall_multiple": 3.0, "fall_within": 2.0,
+            "cold_from": 0.39, "cold_for": 8.1, "fall_multiple": 3.0, "fall_within": 2.0, "weights": weights,
         }  # fmt: skip
         self.fleet = Fleet(
-            settings, instance_count, server_count, work_per_call, seed, type(self).balancer_factory
-        )
+            settings, instance_count, server_count, work_per_call, seed, type(self).balancer_factory,
+            (1.0,) if weights == "none" else sizes, cores, next_tier_latency,
+        )  # fmt: skip
         self.fleet.utilization = initial_utilization
         for instance in self.fleet.instances:
             instance.admission.window = window
@@ -81,6 +91,12 @@
             (self.fleet.remove_and_restart if list_as_gone else self.fleet.restart_server)(server)
         self.fleet.run(1.0)
 
+    @rule()
+    def sample_weights(self) -> None:
+        """Samples the weights anew and sends all instances a list with them."""
+        self.fleet.sample_weights()
+        self.fleet.publish_list(list(self.fleet.servers))
+
     @rule(utilization=st.sampled_from([0.3, 0.7, 1.0, 1.5]))
     def set_utilization(self, utilization: float) -> None:
         """Sets the offered load, as a share of the capacity of all warm servers."""
--- a/granitepoint/modelcheck/fleet.py
+++ b/granitepoint/modelcheck/fleet.py
@@ -4,7 +4,7 @@
 
 import heapq
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
 from functools import partial
 from itertools import count
@@ -33,17 +33,21 @@
 
 IMMEDIATE_FAILURE_TIME = 0.005  # s until an attempt ends that fails in another way than by a timeout
 DEFAULT_MAX_LIST_DELAY = 0.3  # s until the last instance has a list, unless a rule delays lists further
+ROUGH_WEIGHT_RANGE = 0.8, 1.25  # a rough weight is the size times a factor from this range
 
 
 @dataclass(slots=True)
 class ColdStart:
     """A server's cold start and the attempts sent to the server since then, but for failed connects.
 
+    `size` is the size of the server.
+
     An element of `sends` is the time and whether the sending instance had been notified of the start.
     """
 
     server: int
     started_at: float
+    size: float = 1.0
     sends: list[tuple[float, bool]] = field(default_factory=list)
 
 
@@ -51,10 +55,14 @@
 class SimulatedServer:
     """The actual state of a server: a queue that is served one call after another.
 
+    `size` is its capacity, relative to that of a server of size 1. `weight` is what lists say of it.
     `failure_share` of its calls end with `status`, unless that is Status.OK.
     """
 
+    size: float = 1.0
+    weight: float = 1.0
     started_at: float = 0.0
+    busy_until: float = 0.0  # when the work of all calls is done
     completion_times: list[float] = field(default_factory=list)  # of the calls in progress, ascending
     status: Status = Status.OK
     failure_share: float = 0.0
@@ -72,12 +80,12 @@
     def __init__(self, settings: Settings, work_per_call: float) -> None:
         self.settings, self.work_per_call = settings, work_per_call
 
-    def allowed_calls(self, age: float) -> float:
+    def allowed_calls(self, age: float, size: float = 1.0) -> float:
         """Returns the calls that a server may get in `settings.fall_within` s, if it started `age` s ago."""
         settings = self.settings
         warm_up_progress = min(1.0, age / settings.cold_for) if settings.cold_for else 1.0
         capacity = settings.cold_from + (1 - settings.cold_from) * warm_up_progress
-        mean_calls = settings.fall_multiple * capacity * settings.fall_within / self.work_per_call
+        mean_calls = settings.fall_multiple * capacity * size * settings.fall_within / self.work_per_call
         return mean_calls + 2 * math.sqrt(mean_calls) + 2
 
     def peak_usage(self, start: ColdStart) -> tuple[float, float]:
@@ -93,7 +101,7 @@
             while end_index < len(sends) and sends[end_index][0] < window_start + window:
                 end_index += 1
             notified = sum(1 for _, notified in sends[start_index:end_index] if notified)
-            usage = (end_index - start_index) / self.allowed_calls(age)
+            usage = (end_index - start_index) / self.allowed_calls(age, start.size)
             if usage > max_usage and notified > (end_index - start_index) * 2 / 3:
                 max_usage, age_at_max = usage, age
         return max_usage, age_at_max
@@ -109,8 +117,8 @@
 class Fleet:
     """Instances, servers and clients on one simulated clock.
 
-    `work_per_call` is the mean work of a call, in seconds of one server. Instances are named by their index,
-    servers by their id.
+    `work_per_call` is the mean work of a call, in seconds of a server of size 1. Instances are named by their
+    index, servers by their id.
     """
 
     def __init__(
@@ -121,20 +129,29 @@
         work_per_call: float,
         seed: int,
         balancer_factory: BalancerFactory,
+        sizes: Sequence[float] = (1.0,),
+        cores: int = 1,
+        next_tier_latency: float = 0.0,
     ) -> None:
+        """`sizes`: of the servers, repeated as often as needed. `cores`: of each server, for live weights.
+        `next_tier_latency`: s for which a server holds a call after its own work on it."""
         self.rng = Random(seed)
         self.event_order = count()
         self.call_ids = count(1)
         self.work_per_call, self.balancer_factory, self.seed = work_per_call, balancer_factory, seed
-        deadline = max(3.0, 10 * work_per_call)
+        deadline = max(3.0, 10 * work_per_call) + 2 * next_tier_latency
         cls = RequestClass("call", 1.0, deadline * 0.4, deadline, 0.5, Effect.REPEATABLE)
         self.all_settings = [
             Settings([cls], me=instance, balancers=instance_count, zone="a", **settings)  # type: ignore[arg-type]
             for instance in range(instance_count)
         ]
         self.budget_rule = ColdBudget(self.all_settings[0], work_per_call)
-        self.servers = {server: SimulatedServer() for server in range(1, server_count + 1)}
+        self.cores, self.next_tier_latency = cores, next_tier_latency
+        self.servers = {
+            server: SimulatedServer(sizes[server % len(sizes)]) for server in range(1, server_count + 1)
+        }
         self.now = 100.0
+        self.sample_weights()
         self.utilization = 0.5  # offered load as a share of the capacity of all warm servers
         self.traffic_weights = [1.0] * instance_count
         self.max_list_delay = DEFAULT_MAX_LIST_DELAY  # s
@@ -164,9 +181,22 @@
         """Schedules the first list of an instance, a saved one of all servers."""
         self.schedule(0.0, instance, partial(self.server_list, instance, ListKind.SAVED, list(self.servers)))
 
+    def sample_weights(self) -> None:
+        """Sets the weights that lists give from now on, according to their meaning in the settings."""
+        for server, simulated in self.servers.items():
+            meaning = self.all_settings[0].weights
+            if meaning == "nominal":
+                simulated.weight = simulated.size
+            elif meaning == "rough":
+                simulated.weight = simulated.size * self.rng.uniform(*ROUGH_WEIGHT_RANGE)
+            elif meaning == "live":
+                held_per_core = self.calls_in_progress(server) / self.cores
+                simulated.weight = simulated.size / (1 + held_per_core)
+
     def server_entry(self, server: int) -> ServerEntry:
         """Returns the list entry of a server."""
-        return ServerEntry(server, zone="a", started_at=self.servers[server].started_at)
+        simulated = self.servers[server]
+        return ServerEntry(server, zone="a", weight=simulated.weight, started_at=simulated.started_at)
 
     def server_list(self, instance: int, kind: ListKind, servers: list[int]) -> Event:
         """Makes a list of the current state and records that the instance was notified of it.
@@ -181,12 +211,16 @@
         return ServerList(kind, entries)
 
     def restart_server(self, server: int) -> None:
-        """Replaces a server by a cold process and sends all instances a list, each after its own delay."""
+        """Replaces a server by a cold process and sends all instances a list, each after its own delay.
+
+        A live weight is that of the last sample, unless the weights are sampled again.
+        """
         simulated = self.servers[server]
         simulated.started_at, simulated.completion_times = self.now, []
+        simulated.busy_until = self.now
         if server in self.cold_starts:
             self.earlier_starts.append(self.cold_starts.pop(server))
-        self.cold_starts[server] = ColdStart(server, self.now)
+        self.cold_starts[server] = ColdStart(server, self.now, simulated.size)
         self.publish_list([server])
 
     def publish_list(self, servers: list[int], kind: ListKind = ListKind.INCREMENTAL) -> None:
@@ -288,7 +322,8 @@
 
     def interarrival_time(self) -> float:
         """Returns a random time until the next request, in seconds."""
-        return self.rng.expovariate(self.utilization / self.work_per_call * len(self.servers))
+        total_size = sum(simulated.size for simulated in self.servers.values())
+        return self.rng.expovariate(self.utilization / self.work_per_call * total_size)
 
     def add_arrival(self) -> None:
         """Adds the next request, at an instance chosen by the traffic weights."""
@@ -338,10 +373,9 @@
             self.schedule_outcome(instance, action.call, attempt, simulated.status, IMMEDIATE_FAILURE_TIME)
             return
         self.calls_in_progress(server)
-        free_at = max([self.now, *simulated.completion_times[-1:]])
-        simulated.completion_times.append(
-            free_at + self.rng.expovariate(1 / self.work_per_call) / self.capacity_share(server)
-        )
+        work = self.rng.expovariate(1 / self.work_per_call) / self.capacity_share(server) / simulated.size
+        simulated.busy_until = max(self.now, simulated.busy_until) + work
+        simulated.completion_times.append(simulated.busy_until + self.next_tier_latency)
         latency = simulated.completion_times[-1] - self.now
         if failing or latency >= action.timeout:
             self.schedule_outcome(instance, action.call, attempt, Status.TIMEOUT, action.timeout)
