--- a/granitepoint/cli/schema.py
+++ b/granitepoint/cli/schema.py
@@ -191,7 +191,6 @@
             "time in which a draining server may still get attempts",
             SECONDS,
             "drain_grace",
-            "a draining server gets no further attempts",
             ge=0,
         ),
     ]
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -161,7 +161,7 @@
 
     def __init__(self, settings: Settings, actions: list[Action]) -> None:
         self.settings = settings
-        self.list_lease = ListLease(settings.notified_after)
+        self.list_lease = ListLease(settings.notified_after, drain_grace=settings.drain_grace)
         self.health_leases = HealthLeases(confirmed=not settings.ask_for_list, may_check=settings.may_probe)
         self.actions = actions  # sends and answers are appended to it
         self.calls: dict[int, Call] = {}
--- a/granitepoint/membership/list_lease.py
+++ b/granitepoint/membership/list_lease.py
@@ -28,20 +28,23 @@
 # the call open without an answer.
 NOTIFIED_AFTER_HOLD = 2.0
 MAX_WATCH_GAP = 0.2  # s between an answer and the next call that continues the same watch
-# s by which the lease outlasts these times: the part of a drain's grace period that may pass between the
-# decision to send and the first byte.
+# s by which the lease outlasts these times at most: a part of a drain's grace period. The rest is for a
+# process that is held up between the decision to send and the first byte.
 GRACE_MARGIN = 0.1
+MAX_PROCESS_DELAY = 0.15  # s for which a process may be held up
 
 
 class ListLease:
     """Decides what counts as proof, and until when. Times are in seconds, on the clock of the events."""
 
-    def __init__(self, notified_after: float, confirmed: bool = False) -> None:
+    def __init__(self, notified_after: float, confirmed: bool = False, drain_grace: float = math.inf) -> None:
         """`notified_after`: the time after a change until the proxy counts as notified of it; infinite if it
         never does; 0 if lists are pushed: then a list is used only while a watch is open. `confirmed`: every
-        change is received without a call to discovery, so the lease never ends."""
+        change is received without a call to discovery, so the lease never ends. `drain_grace`: how long a
+        server may get requests after its drain was notified."""
         self.notified_after = notified_after
         self.confirmed = confirmed
+        self.grace_margin = max(0.0, min(GRACE_MARGIN, drain_grace - MAX_PROCESS_DELAY))
         # Every change up to this time has been received. A new process knows of no such time.
         self.verified_until = -math.inf
         self.answered_at = -math.inf  # when the last list came; -inf: none came from the current address
@@ -57,7 +60,7 @@
         """When the lease ends, if no further proof comes; infinite if it never does."""
         if math.isinf(self.notified_after) or self.confirmed:
             return math.inf
-        return self._not_notified_until + GRACE_MARGIN
+        return self._not_notified_until + self.grace_margin
 
     @property
     def _not_notified_until(self) -> float:
--- a/tests/test_list_lease.py
+++ b/tests/test_list_lease.py
@@ -20,6 +20,7 @@
 from granitepoint.membership.evidence import MIN_QUEUE_TIME, Failure, classify
 from granitepoint.membership.list_lease import (
     GRACE_MARGIN,
+    MAX_PROCESS_DELAY,
     MAX_WATCH_GAP,
     NOTIFIED_AFTER,
     NOTIFIED_AFTER_HOLD,
@@ -29,8 +30,7 @@
 from granitepoint.net.discovery import HOLD_MS
 from granitepoint.net.discovery_channel import classify_failure
 
-# s of the grace period of a drain; s that a process may be delayed between reading the clock and sending
-DRAIN_GRACE, MAX_PROCESS_DELAY = 0.3, 0.15
+DRAIN_GRACE = 0.3  # s of the grace period of a drain, with the slack of 50 ms on sockets
 HOLD = 25.0  # s for which discovery holds a watch
 
 
@@ -47,6 +47,18 @@
     assert ListLease(math.inf).expires_at == math.inf
 
 
+@pytest.mark.parametrize("grace", [0.0, 0.1, 0.2, 0.25, 2.0])
+def test_the_lease_outlasts_the_notification_by_no_more_than_the_grace_that_the_settings_give(
+    grace: float,
+) -> None:
+    """Guards against requests to draining servers where the grace is short: the setting was not used."""
+    driver = asking_driver(drain_grace=grace)
+    driver.feed(ServerList(ListKind.INCREMENTAL, written_after=driver.now))
+    margin = driver.balancer.list_lease.expires_at - driver.now - NOTIFIED_AFTER
+    assert 0 <= margin <= max(0.0, grace - MAX_PROCESS_DELAY) + 1e-9
+    assert margin == pytest.approx(GRACE_MARGIN) or grace < 0.25
+
+
 @pytest.mark.parametrize("failure", [Failure.WAITED, Failure.SILENT, Failure.LOCAL_ERROR, Failure.IMMEDIATE])
 def test_a_failure_that_proves_nothing_does_not_extend_the_lease(failure: Failure) -> None:
     lease = lease_after_list()
