--- a/granitepoint/cli/explain.py
+++ b/granitepoint/cli/explain.py
@@ -205,9 +205,12 @@
         entries.append(
             Entry("asked again", discovery.PUSH_RETRY_DELAY_S, SECONDS, "after the end of a watch")
         )
+    asks = settings.ask_for_list
+    hold_ms = discovery.HOLD_MS if asks else discovery.PUSHED_HOLD_MS
+    renew_after = discovery.RENEW_AFTER_S if asks else discovery.PUSHED_RENEW_AFTER_S
     entries += [
-        Entry("held", discovery.HOLD_MS / 1000, SECONDS, "longest time for which discovery may hold a watch"),
-        Entry("renewed", discovery.RENEW_AFTER_S, SECONDS, "silence after which a second watch is opened"),
+        Entry("held", hold_ms / 1000, SECONDS, "longest time for which discovery may hold a watch"),
+        Entry("renewed", renew_after, SECONDS, "silence after which a second watch is opened"),
         Entry(
             "must ask in",
             settings.must_ask_within,
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -36,6 +36,10 @@
 # Time without an answer after which the next call of the watch is made, as the connection may be dead. A
 # change at the end of the hold may wait in the queue of discovery until then.
 RENEW_AFTER_S = 3.0
+# The same two where lists are pushed. There a failed call ends the lease whenever the last answer came, and
+# while discovery is down nothing fails: an open watch is silent until discovery is back.
+PUSHED_HOLD_MS = 25_000
+PUSHED_RENEW_AFTER_S = 18.0
 # The same while the list is unconfirmed: short, as the lease on the list ends unless an answer renews it.
 CONFIRM_HOLD_MS = 50
 # From the end of the hold of a call that covers the deadline of a move: then another call is made beside it.
@@ -95,6 +99,7 @@
         start_times: StartTimes | None = None,
     ) -> None:
         self.address, self.random, self.pushed = address, random, pushed
+        self.hold_ms = PUSHED_HOLD_MS if pushed else HOLD_MS
         self.version: int | None = version  # None: request the full list
         self.history = VersionHistory(version)
         self.start_times = start_times or StartTimes()
@@ -238,17 +243,18 @@
         """Returns the seconds for which discovery may hold the next call of the watch."""
         if not self.confirmed:
             return CONFIRM_HOLD_MS / 1000
-        until_deadline_ms = min(HOLD_MS, (self.move_deadlines.first - time.monotonic()) * 1000)
+        until_deadline_ms = min(self.hold_ms, (self.move_deadlines.first - time.monotonic()) * 1000)
         return max(CONFIRM_HOLD_MS, math.ceil(until_deadline_ms)) / 1000
 
     def _next_timeout(self, hold: float) -> float:
         """Returns the seconds after which a call with this hold is followed by another one beside it."""
-        if self.confirmed and hold < HOLD_MS / 1000:
+        if self.confirmed and hold < self.hold_ms / 1000:
             return hold + DEADLINE_TIMEOUT_S  # not at random: a proxy without a list serves nobody
         if self.moving:
             timeout = MOVE_RETRY_AFTER_S
         else:
-            timeout = RENEW_AFTER_S if self.confirmed else CONFIRM_TIMEOUT_S
+            renew_after = PUSHED_RENEW_AFTER_S if self.pushed else RENEW_AFTER_S
+            timeout = renew_after if self.confirmed else CONFIRM_TIMEOUT_S
         return self._shortened(timeout, TIMEOUT_JITTER)
 
     def _since_version(self) -> int | None:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -395,12 +395,16 @@
 
 
 def test_a_proxy_with_pushed_lists_follows_them() -> None:
+    """Its watch is held long: while discovery is down it is silent, and a short one would end the lease."""
+
     async def test() -> None:
         discovery = await Discovery().start()
         draining, added = Backend(), await Backend().start()
         async with proxy({"s-1": draining}, discovery, discovery="push") as node:
             async with asyncio.timeout(TEST_TIMEOUT_S):
-                await discovery.wait_for_request(f"/v1/servers?from=1&hold_ms={discovery_module.HOLD_MS}")
+                hold_ms = discovery_module.PUSHED_HOLD_MS
+                assert hold_ms / 1000 + NOTIFIED_AFTER_HOLD - discovery_module.PUSHED_RENEW_AFTER_S >= 9.0
+                await discovery.wait_for_request(f"/v1/servers?from=1&hold_ms={hold_ms}")
                 discovery.publish(
                     2, endpoint("s-1", draining.address, "Terminating"), endpoint("s-2", added.address)
                 )
