--- a/tests/test_modelcheck.py
+++ b/tests/test_modelcheck.py
@@ -11,7 +11,8 @@
 
 from granitepoint import Balancer, Event, ListKind, Outcome, Refuse, ServerList, Settings, Status
 from granitepoint.admission import ClassState
-from granitepoint.logic import Attempt, Call, SafetyRules, Server, Servers
+from granitepoint.calls import Attempt, Call
+from granitepoint.logic import SafetyRules, Server, Servers
 from granitepoint.modelcheck import __main__ as command
 from granitepoint.modelcheck.__main__ import main
 from granitepoint.modelcheck.check import CounterexampleFound, check
--- a/tests/test_obligations.py
+++ b/tests/test_obligations.py
@@ -26,7 +26,8 @@
     Watch,
 )
 from granitepoint.admission import ClassState
-from granitepoint.logic import Call, SafetyRules, Server
+from granitepoint.calls import Call
+from granitepoint.logic import SafetyRules, Server
 
 NEVER_RAN = [Status.FULL, Status.CONNECT_FAILED, Status.MOOT]
 MAY_HAVE_RUN = [Status.ERROR, Status.TIMEOUT, Status.RESET, Status.CANCELLED]
