--- a/tests/test_server_sizes.py
+++ b/tests/test_server_sizes.py
@@ -94,6 +94,19 @@
     assert size.estimate == 1.0
 
 
+def test_a_small_cold_server_has_a_small_budget_among_busy_large_ones() -> None:
+    """Guards against a budget that is counted by servers alone, as if all had the same size."""
+    driver = Driver(settings(weights="live", cold_from=0.39, cold_for=8.1))
+    busy = [ServerEntry(server, zone="a", weight=1 / 31) for server in (1, 2, 3)]
+    driver.feed(ServerList(ListKind.SAVED, busy))
+    servers = driver.balancer.servers
+    for server in servers.known.values():
+        servers.record_report(server, {"busy_reqs": 30.0}, driver.now)
+    started = ServerEntry(4, zone="a", weight=0.02, started_at=driver.now)
+    driver.feed(ServerList(ListKind.INCREMENTAL, [started]))
+    assert servers.cold_budget_size(servers.known[4]) == pytest.approx(0.02 * 4 / 3.02)
+
+
 def test_weights_that_mean_nothing_are_not_used() -> None:
     """WIRE: `off` is always 1."""
     driver = Driver(settings(weights="none"))
