--- a/granitepoint/faults/harness.py
+++ b/granitepoint/faults/harness.py
@@ -65,6 +65,9 @@
         default_factory=set
     )  # ids of calls that were lost because a proxy was killed
     settings: dict[str, Any] = field(default_factory=lambda: copy.deepcopy(SETTINGS))
+    limits: dict[str, float] = field(
+        default_factory=lambda: {"cores": 1.0, "memory_mb": 192, "sockets": 1024}
+    )  # of each proxy
     next_call_number: Any = field(default_factory=lambda: count(1).__next__)
 
     def add_server(self) -> Server:
@@ -85,7 +88,7 @@
         config = {
             "name": f"n{number}", "discovery": endpoint.address,
             "seed": f"{self.random.getrandbits(64):016x}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": dict(self.limits),
             "known": self.current_list(), "settings": settings,
         }  # fmt: skip
         proxy = ProxyProcess(f"n{number}", self.folder, config, environment or {})
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -688,3 +688,66 @@
             await shutdown
 
     run(test())
+
+
+@pytest.mark.parametrize("further", [600, 50_000], ids=["45 KB", "3.6 MB"])
+def test_no_retry_starts_for_a_caller_that_has_closed_behind_much_unread_input(further: int) -> None:
+    async def test() -> None:
+        may_reset = asyncio.Event()
+
+        async def reset_later(seen: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            await may_reset.wait()
+            writer.transport.abort()
+
+        async with in_process_proxy(reset_later) as proxy:
+            with socket.socket() as caller:
+                caller.setblocking(False)
+                loop = asyncio.get_running_loop()
+                await loop.sock_connect(caller, ("127.0.0.1", proxy.port))
+                requests = b"".join(STOCK_REQUEST % number for number in range(1, further + 2))
+                with contextlib.suppress(TimeoutError):
+                    async with asyncio.timeout(0.3):
+                        await loop.sock_sendall(caller, requests)
+                assert (await next_call(proxy.backend)).headers["x-call-id"] == f"{1:016d}"
+            await asyncio.sleep(0.1)  # until then an attempt may begin for a caller that has closed
+            attempts = proxy.backend.call_count
+            may_reset.set()
+            await proxy.wait_until(lambda: not proxy.server.connections and not proxy.driver.in_flight)
+            assert proxy.backend.call_count == attempts
+
+    run(test())
+
+
+@pytest.mark.parametrize("cls", ["stock", "reserva", "canje"])
+def test_an_id_that_comes_again_after_its_caller_left_during_the_attempt_does_not_run_twice(cls: str) -> None:
+    async def test() -> None:
+        async def never_answer(seen: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+            return
+
+        async with in_process_proxy(never_answer) as proxy:
+            first = await proxy.caller()
+            first.send(cls, FIRST_ID)
+            await next_call(proxy.backend)
+            first.writer.close()
+            await proxy.wait_until(lambda: not proxy.driver.calls)
+            await proxy.wait_until(lambda: not proxy.driver.in_flight)
+            again = await proxy.caller()
+            assert (await again.call(cls, FIRST_ID)).code == 409
+            assert proxy.backend.call_count == 1
+
+    run(test())
+
+
+def test_an_id_whose_first_request_never_ran_is_served_when_it_comes_again() -> None:
+    async def test() -> None:
+        async with in_process_proxy(status="Terminating") as proxy:
+            first = await proxy.caller()
+            first.send("canje", FIRST_ID)
+            await proxy.wait_until(lambda: bool(proxy.driver.calls))
+            first.writer.close()
+            proxy.set_backend_status("Ready")
+            again = await proxy.caller()
+            assert (await again.call("canje", FIRST_ID)).code == 200
+            assert proxy.backend.call_count == 1
+
+    run(test())
