Log resident memory, lag, callers' states and the reason of each close and rejection

The statistics line said nothing of memory, of how long a turn of the event loop took, or why connections of callers ended, so the three pictures of the incident could not be told apart from the log. It now has resident_mb, loop_lag_s, the callers by what they wait for, and counts by reason; per-request lines are DEBUG.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -91,6 +91,7 @@
     driver = Driver(config)
     over_limit_headers = driver.retry_after_headers(AT_CAPACITY_RETRY_AFTER_S)
     server = Server(driver.effects, driver, config.sockets, config.memory_mb, over_limit_headers)
+    driver.caller_counts, driver.caller_figures = server.counts, server.figures
     # SIGHUP is handled before the proxy is ready, and also during the shutdown.
     loop.add_signal_handler(signal.SIGHUP, reload, driver)
     driver.start()
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -25,6 +25,7 @@
 from granitepoint.net.headers import HOP_BY_HOP_HEADERS
 from granitepoint.net.listing import Listing, read_listing
 from granitepoint.net.logs import EventLogger
+from granitepoint.net.process_memory import resident_mb
 from granitepoint.net.server import Headers, Reply, Request
 from granitepoint.net.timing import NEXT_LOOP_ITERATION_S, STALL_THRESHOLD_S
 from granitepoint.net.upstream import UPSTREAM_DESCRIPTOR_SHARE, Upstream, Upstreams
@@ -128,6 +129,8 @@
         self.shutdown_deadline = math.inf  # monotonic; all calls are answered by then when the process stops
         self.debug_enabled = log.debug_enabled  # log lines for each request are wanted
         self.counts: Counter[str] = Counter()  # events and outcomes since the last statistics line
+        self.caller_counts: Counter[str] = Counter()  # the same of the callers' connections
+        self.caller_figures: Callable[[], dict[str, float]] = dict  # state of these, for the statistics line
         self.loop_lag = 0.0  # seconds; decaying maximum of the delay of timers
         self.on_drained: Callable[[], None] | None = None  # called when no call is open any more
         self.action_handlers: dict[type, Callable[[Any], None]] = {
@@ -178,9 +181,10 @@
 
     def log_statistics(self) -> None:
         """Logs what happened since the last such line, and the state of the balancer."""
-        if self.counts:
-            counts, self.counts = self.counts + self.upstreams.counts, Counter()
-            self.upstreams.counts.clear()
+        counts = self.counts + self.upstreams.counts + self.caller_counts
+        if counts:
+            for logged in (self.counts, self.upstreams.counts, self.caller_counts):
+                logged.clear()
             admission = self.balancer.admission
             class_states = self.balancer.class_states.values()
             states = Counter(
@@ -196,6 +200,8 @@
                 held=len(self.balancer.queue),
                 list_confirmed=int(self.balancer.health_leases.confirmed),
                 list_lease_s=self.balancer.list_lease.expires_at - time.monotonic(),
+                resident_mb=resident_mb(), loop_lag_s=self.loop_lag,
+                **self.caller_figures(),
                 **{f"servers.{state}": count for state, count in sorted(states.items())},
                 **{
                     f"target.{class_state.name}_s": class_state.target_latency
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -6,7 +6,7 @@
 import re
 import select
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
 from itertools import islice, takewhile
@@ -379,8 +379,12 @@
                 ready = self.server.handler.ready()
                 self.answer(200 if ready else 503, NO_HEADERS, b"ok\n" if ready else b"not ready\n")
             elif isinstance(request, BadRequest):
+                self.server.counts[f"rejected {request.code}"] += 1
+                log.debug("request_rejected", code=request.code, reason=str(request))
                 self.answer(request.code, NO_HEADERS, f"{request}\n".encode())
             elif self.over_limit:
+                self.server.counts["refused over limit"] += 1
+                log.debug("request_refused", id=request.id, reason="over the connection limit")
                 # The request was never sent to a backend, so it can be refused. Requests behind it need their
                 # answers too, so the connection stays open until then.
                 self.keep_alive = self.keep_alive and bool(self.pending_requests)
@@ -539,6 +543,9 @@
         self.draining = False  # graceful shutdown: each answer closes its connection
         self.listener: Listener | None = None
         self.sweep_due = 0.0  # s, monotonic; when the next check for timed-out connections is due
+        self.counts: Counter[str] = (
+            Counter()
+        )  # closes, rejections and refusals since the last statistics line
 
     def set_table(self, connection: ClientConnection, table: dict[ClientConnection, None] | None) -> None:
         """Moves a connection to the end of a table, or out of all tables (None)."""
@@ -569,6 +576,7 @@
             connection.over_limit = True
             self.over_limit_connections.add(connection)
         if len(self.connections) > self.max_connections and not self._evict_connection(among_over_limit=True):
+            self.counts["caller turned away"] += 1
             connection.abort()
             return
         self.set_table(connection, self.awaiting_request)
@@ -588,11 +596,22 @@
                 MAX_EVICTION_CHECKS,
             ):
                 if oldest.closing or not oldest.has_unread_data():
+                    self.counts[f"caller evicted {table_name}"] += 1
                     self.set_table(oldest, None)
                     oldest.abort()
                     return True
         return False
 
+    def figures(self) -> dict[str, float]:
+        """Returns the numbers of connections, by what they wait for, for the statistics line."""
+        return {
+            "callers.open": len(self.connections),
+            "callers.over_limit": len(self.over_limit_connections),
+            "callers.awaiting_request": len(self.awaiting_request),
+            "callers.idle": len(self.idle),
+            "callers.paused": len(self.paused_connections),
+        }
+
     async def listen(self, host: str, port: int) -> int:
         """Starts to accept connections and returns the port. Raises OSError if the address is unavailable."""
         self.listener = Listener(host, port, lambda: ClientConnection(self), self._evict_connection)
@@ -656,10 +675,10 @@
             self.loop.call_later(NEXT_LOOP_ITERATION_S, self._sweep)
             return
         self._abort_disconnected()
-        for table, timeout, end in (
-            (self.awaiting_request, REQUEST_READ_TIMEOUT_S, ClientConnection.on_read_timeout),
-            (self.idle, KEEP_ALIVE_TIMEOUT_S, ClientConnection.close),
-            (self.closing, LINGER_TIMEOUT_S, ClientConnection.abort),
+        for table, reason, timeout, end in (
+            (self.awaiting_request, "read timeout", REQUEST_READ_TIMEOUT_S, ClientConnection.on_read_timeout),
+            (self.idle, "idle", KEEP_ALIVE_TIMEOUT_S, ClientConnection.close),
+            (self.closing, "not closed by it", LINGER_TIMEOUT_S, ClientConnection.abort),
         ):
             for connection in list(self._entered_before(table, now - timeout)):
                 # Unread bytes are read before a connection times out; at the next sweep it times out anyway.
@@ -667,6 +686,7 @@
                     table is not self.closing and connection.table_since > now - timeout - SWEEP_INTERVAL_S
                 )
                 if not (first_check and connection.has_unread_data()):
+                    self.counts[f"caller ended {reason}"] += 1
                     end(connection)
         self._sweep_later()
 
@@ -687,4 +707,5 @@
                 poll.register(connection.fileno, PEER_CLOSED_EVENTS)
         for file_number, _ in poll.poll(0) if connections_by_fd else ():
             log.info("caller_left_unread")
+            self.counts["caller left unread"] += 1
             connections_by_fd[file_number].abort()
