Keep the rejection of a request as a plain value, not as an exception with its frames

Memory grew without end while one connection sent unsound requests or unknown classes. Cause: the queue of a connection kept the exception, whose traceback holds the frame that holds the queue; each rejected request left a circle of 8 objects, and the thresholds of the collector (50,000, 20, 50) let them pile up. Ruled out: tables by class or field name; there are none. Now a Rejection is kept, and the thresholds are 2,000, 10, 10.

One test reads the code from the rejection now, not the exception.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -18,6 +18,9 @@
 
 log = logs.EventLogger("granitepoint.main")
 
+# Of gc.set_threshold: new objects, and collections of the younger generation, before a collection.
+COLLECTION_THRESHOLDS = (2_000, 10, 10)
+
 # Graceful shutdown. The time that the platform leaves between SIGTERM and SIGKILL is the longest deadline of
 # the classes, but at most SHUTDOWN_MAX_DEADLINE_S, plus SHUTDOWN_KILL_DELAY_S.
 
@@ -100,7 +103,7 @@
     # These objects live until the process ends: frozen, they don't lengthen collections, which delay calls.
     gc.collect()
     gc.freeze()
-    gc.set_threshold(50_000, 20, 50)
+    gc.set_threshold(*COLLECTION_THRESHOLDS)
     await terminated.wait()
     await drain(server, driver)
     driver.log_statistics()
--- a/granitepoint/net/request_lines.py
+++ b/granitepoint/net/request_lines.py
@@ -9,6 +9,7 @@
 
 import re
 from collections.abc import Iterator
+from dataclasses import dataclass
 from enum import Enum
 
 REQUEST_LINE = re.compile(rb"[^ \r\n]+ [^ \r\n]+ HTTP/1\.1\r\n")  # RFC 9112, section 3
@@ -16,12 +17,26 @@
 BLANK_LINE = b"\n\r\n"  # with the end of the line before it
 
 
+@dataclass(frozen=True, slots=True)
+class Rejection:
+    """The error answer to a request that is not forwarded."""
+
+    code: int  # HTTP status
+    text: str  # the body of the answer
+
+
 class BadRequest(Exception):
-    """A request that is answered with an error status; the message is the body of the answer."""
+    """A request can't be forwarded. Keep the rejection, not the exception: that refers to its frames."""
 
     def __init__(self, code: int, text: str) -> None:
         super().__init__(text)
-        self.code = code  # HTTP status
+        self.rejection = Rejection(code, text)
+
+
+def rejection_for(error: Exception) -> Rejection:
+    """Returns the answer to input that raised this error, maybe inside a callback of the parser."""
+    cause = error if isinstance(error, BadRequest) else error.__context__
+    return cause.rejection if isinstance(cause, BadRequest) else Rejection(400, "malformed HTTP")
 
 
 class Phase(Enum):
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -18,7 +18,7 @@
 from granitepoint.net.headers import HOP_BY_HOP_HEADERS, normalize_header
 from granitepoint.net.listener import Listener
 from granitepoint.net.logs import EventLogger
-from granitepoint.net.request_lines import BadRequest, RequestSplitter
+from granitepoint.net.request_lines import BadRequest, Rejection, RequestSplitter, rejection_for
 from granitepoint.net.timing import NEXT_LOOP_ITERATION_S, STALL_THRESHOLD_S
 from granitepoint.net.upstream import UPSTREAM_DESCRIPTOR_SHARE
 
@@ -202,7 +202,7 @@
         self.in_message = False  # the parser is within a request
         self.headers_complete = False
         # Complete requests (None: a readiness check), each with whether the connection stays open after it.
-        self.pending_requests: deque[tuple[Request | BadRequest | None, bool]] = deque()
+        self.pending_requests: deque[tuple[Request | Rejection | None, bool]] = deque()
         self.call: object | None = None  # the handler's object for the request that waits for its answer
         self.answering = False  # a request waits for its answer
         self.keep_alive = True
@@ -279,13 +279,12 @@
             if self.raw_bytes > MAX_RAW_REQUEST_BYTES:
                 raise BadRequest(413, "the request does not end")
         except Exception as error:  # the parser wraps an exception that a callback raised in one of its own
-            cause = error if isinstance(error, BadRequest) else error.__context__
-            self._reject_input(cause if isinstance(cause, BadRequest) else BadRequest(400, "malformed HTTP"))
+            self._reject_input(rejection_for(error))
         if self.table is self.server.idle and not self.pending_requests:
             self.server.set_table(self, self.server.awaiting_request)  # the next request has started
         self._process_next()
 
-    def _reject_input(self, rejection: BadRequest) -> None:
+    def _reject_input(self, rejection: Rejection) -> None:
         """Queues the error answer, after which the connection closes, and discards all further input."""
         self.pending_requests.append((rejection, False))
         self.body = []
@@ -353,9 +352,9 @@
         parser = self.parser
         keep_alive = parser.should_keep_alive()
         method = parser.get_method()
-        request: Request | BadRequest | None = None  # None: a readiness check
+        request: Request | Rejection | None = None  # None: a readiness check
         if parser.should_upgrade():
-            request = BadRequest(400, "no upgrades")
+            request = Rejection(400, "no upgrades")
             keep_alive = False
         elif self.target.split(b"?", 1)[0] != b"/healthz" or method != b"GET":
             body = b"".join(self.body)
@@ -363,8 +362,8 @@
                 request = read_request(
                     method, self.target, self.headers, body, time.monotonic(), self.server.effects
                 )
-            except BadRequest as rejection:
-                request = rejection
+            except BadRequest as error:
+                request = error.rejection
         self.headers, self.body = [], []
         self.pending_requests.append((request, keep_alive))
 
@@ -378,10 +377,10 @@
             if request is None:
                 ready = self.server.handler.ready()
                 self.answer(200 if ready else 503, NO_HEADERS, b"ok\n" if ready else b"not ready\n")
-            elif isinstance(request, BadRequest):
+            elif isinstance(request, Rejection):
                 self.server.counts[f"rejected {request.code}"] += 1
-                log.debug("request_rejected", code=request.code, reason=str(request))
-                self.answer(request.code, NO_HEADERS, f"{request}\n".encode())
+                log.debug("request_rejected", code=request.code, reason=request.text)
+                self.answer(request.code, NO_HEADERS, f"{request.text}\n".encode())
             elif self.over_limit:
                 self.server.counts["refused over limit"] += 1
                 log.debug("request_refused", id=request.id, reason="over the connection limit")
@@ -459,9 +458,9 @@
 
     def on_read_timeout(self) -> None:
         """Closes the connection after REQUEST_READ_TIMEOUT_S; a partial request is answered with 408."""
-        self.reject_partial_request(BadRequest(408, "the request did not end"))
+        self.reject_partial_request(Rejection(408, "the request did not end"))
 
-    def reject_partial_request(self, rejection: BadRequest) -> None:
+    def reject_partial_request(self, rejection: Rejection) -> None:
         """Answers a partial request with this error; closes the connection if there is none."""
         if self.has_partial_request:
             self._reject_input(rejection)
@@ -655,7 +654,7 @@
         for connection in [*self.idle, *self.awaiting_request]:
             connection.over_limit = True
             if not connection.has_unread_data():
-                connection.reject_partial_request(BadRequest(503, "this proxy is ending"))
+                connection.reject_partial_request(Rejection(503, "this proxy is ending"))
 
     def abort_closing(self) -> None:
         """Aborts the connections that a close does not end: their peers never read the last answer."""
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import gc
 import logging
 import os
 from collections.abc import Awaitable, Callable
@@ -325,6 +326,32 @@
     run(test())
 
 
+@pytest.mark.parametrize("path", [b"/unknown", b"/stock"], ids=["unknown class", "no id"])
+def test_a_rejected_request_leaves_no_reference_cycle(path: bytes) -> None:
+    """The frames of an exception that is kept would hold a connection's buffers until the next collection."""
+
+    async def test() -> None:
+        handler: Any = None
+        server = Server({"stock": Effect.REPEATABLE}, handler, 256, 64)
+        port = await server.listen("127.0.0.1", 0)
+        caller = Caller(*await asyncio.open_connection("127.0.0.1", port))
+        request = b"GET " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n"
+        assert (await caller.raw(request)).code in (400, 404)
+        gc.collect()
+        gc.disable()
+        try:
+            caller.writer.write(request * 100)
+            for _ in range(100):
+                assert (await caller.answer()).code in (400, 404)
+            assert gc.collect() < 100
+        finally:
+            gc.enable()
+            server.stop_listening()
+            caller.writer.close()
+
+    run(test())
+
+
 def test_repeated_warnings_are_rate_limited() -> None:
     rate_limit = RateLimitFilter()
     record = logging.LogRecord("x", logging.WARNING, "", 0, "fault %d", (1,), None)
--- a/tests/test_request_lines.py
+++ b/tests/test_request_lines.py
@@ -134,7 +134,7 @@
     assert list(splitter.split(line[:cut])) == [line[:cut]]
     with pytest.raises(BadRequest) as rejection:
         list(splitter.split(line[cut:]))
-    assert rejection.value.code == 505
+    assert rejection.value.rejection.code == 505
 
 
 def test_a_proxy_runs_no_request_of_another_protocol() -> None:
