Bound the work for one connection in a turn, and see its end behind unread input

Other clients got no answer while one connection sent small requests at full speed (loop_lag_s=5.66), and retries began for a caller that had closed. Cause: ClientConnection.data_received parsed and answered all that a read gave, up to 256 KB and 32 reads in a turn; parsed, thousands of requests waited as objects. Above 16 KB reading stopped, so the end of a connection stayed behind what the peer's system still held.

Now a read takes 16 KB at most into one shared buffer, input waits as it came, and a connection processes 16 pieces in a turn; what is left waits behind the others (net/fair_turns.py). With less read, an end would be seen even later, so both go together: before an attempt, and each 0.1 s while a request is open, the rest is read up to 4 MB; beyond that no attempt begins and the call is answered (503, or 502 if it may have run). What waited unread counts as arrived when reading stopped, so its deadline is not too late. net/server.py is split: requests.py, request_reader.py, client_connection.py. The model check replaces time and select in the new modules, and read.

Two tests look at reader.unparsed where they looked at pending_requests, one at reader.parser: the same bytes and the same parser, now kept there.

--- a/granitepoint/cli/explain.py
+++ b/granitepoint/cli/explain.py
@@ -15,7 +15,7 @@
 from granitepoint import admission, logic
 from granitepoint.interface import Effect, ListKind, RequestClass, ServerList, Settings
 from granitepoint.membership import backoff, list_lease
-from granitepoint.net import discovery, driver, server, upstream
+from granitepoint.net import discovery, driver, request_reader, server, upstream
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.listing import read_listing
 
@@ -230,7 +230,7 @@
     upstreams = upstream.Upstreams(settings.connect_timeout, settings.conn_idle, max_connections)
     reserved = min(server.RESERVED_DESCRIPTORS, config.sockets // 10)
     over_limit = caller_server.max_connections - caller_server.max_served_connections
-    large_body_kb = server.LARGE_BODY_BYTES // 1024
+    large_body_kb = request_reader.LARGE_BODY_BYTES // 1024
     return Section("connections and memory", [
         Entry("descriptors", config.sockets, "descriptors", "that the process may have open"),
         Entry("to servers", upstreams.max_connections, "descriptors", "for connections to servers, at most"),
@@ -242,7 +242,8 @@
               "at most, for a connection: a request with its copy, and an answer"),
         Entry("long requests", caller_server.max_large_requests, "requests",
               f"larger than {large_body_kb} KB, at a time"),
-        Entry("request", server.MAX_BODY_BYTES // 1024, "KB", "largest body of a request, and of an answer"),
+        Entry("request", request_reader.MAX_BODY_BYTES // 1024, "KB",
+              "largest body of a request, and of an answer"),
         Entry("connect", settings.connect_timeout, SECONDS, "after which a connection attempt has failed"),
         Entry("idle", upstreams.idle_timeout, SECONDS,
               "after which the proxy closes an unused connection to a server"),
--- a/granitepoint/fleet/proxies.py
+++ b/granitepoint/fleet/proxies.py
@@ -16,13 +16,15 @@
 from granitepoint.fleet.measure import Histogram
 from granitepoint.logic import Balancer
 from granitepoint.net.backend_connection import LAST_BYTE_DELAY_S
+from granitepoint.net.client_connection import ClientConnection, Reply
 from granitepoint.net.config import Config
 from granitepoint.net.driver import Driver, OpenCall
 from granitepoint.net.exchange import Exchange
 from granitepoint.net.listener import Listener
 from granitepoint.net.listing import Listing
+from granitepoint.net.requests import Request
 from granitepoint.net.reuse_delay import MIN_REUSE_DELAY_S
-from granitepoint.net.server import ClientConnection, Reply, Request, Server
+from granitepoint.net.server import Server
 
 # The stages of a call in the proxy, in order:
 #   read:     from the first byte read until the request is accepted
@@ -81,7 +83,7 @@
 
     def data_received(self, data: bytes) -> None:
         """Implements asyncio.Protocol."""
-        if not self.in_message:
+        if not self.reader.in_message:
             self.first_byte_at = time.monotonic()
         super().data_received(data)
 
--- a/granitepoint/fleet/state.py
+++ b/granitepoint/fleet/state.py
@@ -16,7 +16,7 @@
 from granitepoint.fleet.experiment import DEFAULT_SETTINGS
 from granitepoint.net.config import Config, flatten_settings
 from granitepoint.net.driver import Driver
-from granitepoint.net.server import Request
+from granitepoint.net.requests import Request
 from granitepoint.simulator_adapter import read_settings
 
 UNUSED_ADDRESS = ("127.0.0.1", 9)  # the driver never listens or connects
@@ -28,6 +28,8 @@
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         pass
 
+    end_out_of_sight = False
+
     def peer_closed(self) -> bool:
         return False
 
--- a/granitepoint/modelcheck/proxy.py
+++ b/granitepoint/modelcheck/proxy.py
@@ -15,7 +15,7 @@
 from granitepoint.membership.evidence import Failure
 from granitepoint.modelcheck.sockets import Clock, Link, Loop, Peer
 from granitepoint.modelcheck.world import RuleViolation
-from granitepoint.net import discovery, driver, server, upstream
+from granitepoint.net import client_connection, discovery, driver, fair_turns, server, upstream
 from granitepoint.net.config import Config
 from granitepoint.net.listing import read_listing
 
@@ -233,11 +233,12 @@
     def __init__(self, seed: int, backend_count: int, socket_limit: int, **settings_overrides: Any) -> None:
         self.clock = Clock(1000.0)
         self.loop = Loop(self.clock, self.connect, seed)
-        self.patched_modules = [discovery, driver, server, upstream, program]
+        self.patched_modules = [client_connection, discovery, driver, fair_turns, server, upstream, program]
         self.saved_attributes = [
             (module, name, getattr(module, name, None))
             for module in self.patched_modules
-            for name in ("time", "select")
+            for name in ("time", "select", "os")
+            if module is not program or name != "os"
         ]
         for module, name, original in self.saved_attributes:
             if original is not None:
@@ -346,7 +347,7 @@
         client = Client(self)
 
         def accept() -> None:
-            protocol = server.ClientConnection(self.server)
+            protocol = client_connection.ClientConnection(self.server)
             link = Link(self.loop, protocol, client)
             protocol.connection_made(link)
 
--- a/granitepoint/modelcheck/sockets.py
+++ b/granitepoint/modelcheck/sockets.py
@@ -35,6 +35,8 @@
             **{name: getattr(select, name) for name in ("POLLIN", "POLLERR", "POLLHUP", "POLLRDHUP")},
         )
 
+        self.os = SimpleNamespace(read=lambda fd, size: self.links[fd].read_now(size))
+
     def schedule(self, delay: float, callback: Callable[[], object]) -> None:
         """Calls back after a delay in seconds, even while the proxy is busy or stalled."""
         heapq.heappush(self.scheduled, (self.now + delay, next(self.unique_numbers), callback))
@@ -209,6 +211,25 @@
             self.bytes_read += len(data)
             self.protocol.data_received(data)
 
+    def read_now(self, size: int) -> bytes:
+        """Returns received data, at most `size` bytes, without waiting, as read(2) does; b"" at EOF.
+
+        Raises BlockingIOError if there is nothing, or ConnectionResetError.
+        """
+        if not self.receive_buffer:
+            raise BlockingIOError
+        data = self.receive_buffer[0]
+        if data is RESET_MARK:
+            raise ConnectionResetError("reset by peer")
+        if data == EOF_MARK:
+            return EOF_MARK
+        assert data is not None
+        self.receive_buffer[0] = data[size:]
+        if len(data) <= size:
+            self.receive_buffer.popleft()
+        self.bytes_read += min(size, len(data))
+        return data[:size]
+
     def flush(self) -> None:
         """Delivers written data to the peer while it reads, and then EOF or the close."""
         if self.peer_reading and self.send_buffer:
@@ -296,6 +317,9 @@
         if not self.closed:
             self.close_now(None)
 
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """Changes nothing: writing is paused above HIGH_WATER_BYTES."""
+
     def is_closing(self) -> bool:
         return self.closing
 
--- /dev/null
+++ b/granitepoint/net/client_connection.py
@@ -0,0 +1,356 @@
+"""One connection of a caller: its input in bounded slices, and exactly one answer to each request."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import select
+import time
+from typing import TYPE_CHECKING, Any, Protocol, cast
+
+from granitepoint.net.logs import EventLogger
+from granitepoint.net.request_lines import Rejection
+from granitepoint.net.request_reader import HealthCheck, Incoming, RequestReader
+from granitepoint.net.requests import Headers, Request
+
+if TYPE_CHECKING:
+    from granitepoint.net.server import Server
+
+log = EventLogger(__name__)
+
+MAX_READ_AHEAD_BYTES = 4 << 20  # read behind an open request to see the end of the connection
+LOOK_AHEAD_BYTES = 64 * 1024  # of one read that looks for that end
+MAX_PIECES_PER_SLICE = 16  # pieces of input parsed in one turn of the event loop; a small request has two
+READ_BYTES = 16 * 1024  # of one read; reading pauses while more than this waits for its turn
+PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # closed or reset
+REASON_PHRASES = {
+    200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 409: b"Conflict",
+    413: b"Content Too Large", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
+    502: b"Bad Gateway", 503: b"Service Unavailable", 504: b"Gateway Timeout",
+    505: b"HTTP Version Not Supported",
+}  # fmt: skip
+NO_HEADERS: Headers = ()
+
+
+class Reply(Protocol):
+    """Writes the answer to one request."""
+
+    def answer(self, code: int, headers: Any, body: bytes) -> None:
+        """Sends the one answer. Raises RuntimeError if the request has been answered already."""
+        ...
+
+    def peer_closed(self) -> bool:
+        """Returns whether the caller has closed or reset its connection."""
+        ...
+
+    @property
+    def end_out_of_sight(self) -> bool:
+        """Whether the last look could not tell: more input is unread than may be held."""
+        ...
+
+
+class Handler(Protocol):
+    """Handles the requests that the server has read; implemented by the driver."""
+
+    def on_request(self, request: Request, reply: Reply) -> object:
+        """Starts a call and returns its handle for on_disconnect; may answer it before it returns."""
+        ...
+
+    def on_disconnect(self, call: Any) -> None:
+        """Ends an unanswered call whose caller has disconnected."""
+        ...
+
+    def ready(self) -> bool:
+        """Returns whether the proxy can serve requests; the answer to GET /healthz."""
+        ...
+
+
+class ClientConnection(asyncio.BufferedProtocol):
+    """One connection of a caller. Pipelined requests are answered in order, each exactly once."""
+
+    __slots__ = (
+        "answering", "call", "closing",
+        "discarding_input", "end_out_of_sight", "keep_alive", "over_limit", "reader",
+        "reading_paused", "server", "table", "table_since", "transport", "unread_since", "write_blocked",
+    )  # fmt: skip
+
+    def __init__(self, server: Server) -> None:
+        self.server = server
+        self.transport: asyncio.Transport | None = None
+        self.reader = RequestReader(self, server.effects)
+        self.call: object | None = None  # the handler's object for the request that waits for its answer
+        self.answering = False  # a request waits for its answer
+        self.keep_alive = True
+        # After invalid input the rest is read and dropped: a close on unread bytes could lose the answer.
+        self.discarding_input = False
+        self.closing = False  # the last answer has been written
+        self.over_limit = False  # requests are refused: no connection capacity, or the end of the shutdown
+        # The table of the server that it is in, by what it waits for (see Server).
+        self.table: dict[ClientConnection, None] | None = None
+        self.table_since = 0.0  # s, monotonic, of the move to that table
+        self.write_blocked = False  # the write buffer is full because the peer does not read
+        self.reading_paused = False
+        # Monotonic; what is read next may have arrived from then on. None: it is read as it arrives.
+        self.unread_since: float | None = None
+        self.end_out_of_sight = False
+
+    # Transport callbacks
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Registers the new connection with the server."""
+        self.transport = cast(asyncio.Transport, transport)  # uvloop's does not inherit from it
+        self.server.add(self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Removes the connection from the server and ends its call."""
+        self.transport = None
+        self.closing = True
+        self.reader.close()
+        self.server.remove(self)
+        call, self.call = self.call, None
+        if call is not None:
+            self.server.handler.on_disconnect(call)
+
+    def pause_writing(self) -> None:
+        """The write buffer is full: the next request waits until the peer has read."""
+        self.write_blocked = True
+        self._update_reading()
+
+    def resume_writing(self) -> None:
+        """The write buffer has drained."""
+        self.write_blocked = False
+        if self.has_work:
+            self.server.turns.wait(self)
+        self._update_reading()
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read, which all connections share."""
+        return self.server.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Takes what was read into the buffer."""
+        self.data_received(bytes(self.server.read_buffer[:nbytes]))
+
+    def data_received(self, data: bytes) -> None:
+        """Processes a first slice of the input; invalid input is answered with an error and a close."""
+        if self.closing or self.discarding_input:
+            return
+        self.reader.add(data, time.monotonic() if self.unread_since is None else self.unread_since)
+        if len(data) < READ_BYTES:
+            self.unread_since = None  # nothing is left in the socket
+        if self.table is self.server.idle:
+            self.server.set_table(self, self.server.awaiting_request)  # the next request has started
+        if self.has_work:
+            self.server.turns.run(self)
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Pauses reading while the peer does not read its answers or has sent too much ahead of them."""
+        if self.transport is None or self.closing:
+            return
+        pause = self.write_blocked or self.reader.input_size > READ_BYTES
+        if pause and not self.reading_paused:
+            self.transport.pause_reading()
+            self.server.paused_connections.add(self)
+            if self.unread_since is None:
+                self.unread_since = time.monotonic()
+        elif self.reading_paused and not pause:
+            self.transport.resume_reading()
+            self.server.paused_connections.discard(self)
+        self.reading_paused = pause
+
+    # Owner of the reader
+    def reserve_large_request(self) -> bool:
+        """Returns whether a large request may be held for this connection."""
+        return self.server.reserve_large_request(self)
+
+    def send_continue(self) -> None:
+        """Tells the caller to send the body of its request."""
+        if self.transport is not None:
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    # Requests
+    @property
+    def has_work(self) -> bool:
+        """Whether there is input that can be processed now."""
+        blocked = self.answering or self.closing or self.discarding_input or self.write_blocked
+        return not blocked and self.reader.has_input
+
+    def work(self) -> bool:
+        """Processes a slice of the input; returns whether there is more that can be processed now."""
+        for _ in range(MAX_PIECES_PER_SLICE):
+            if not self.has_work:
+                break
+            incoming = self.reader.advance()
+            if incoming is not None:
+                self._process(incoming)
+        self._update_reading()
+        return self.has_work
+
+    def _reject_input(self, rejection: Rejection) -> None:
+        """Answers with an error, after which the connection closes, and discards all further input."""
+        self.reader.discard()
+        self._process(Incoming(rejection, keep_alive=False, ends_input=True))
+
+    def _process(self, incoming: Incoming) -> None:
+        self.keep_alive = incoming.keep_alive
+        self.discarding_input = incoming.ends_input
+        self.answering = True
+        self.server.set_table(self, None)
+        message = incoming.message
+        if isinstance(message, Request):
+            self._start(message)
+        elif isinstance(message, HealthCheck):
+            ready = self.server.handler.ready()
+            self.answer(200 if ready else 503, NO_HEADERS, b"ok\n" if ready else b"not ready\n")
+        else:
+            self.server.counts[f"rejected {message.code}"] += 1
+            log.debug("request_rejected", code=message.code, reason=message.text)
+            self.answer(message.code, NO_HEADERS, f"{message.text}\n".encode())
+
+    def _start(self, request: Request) -> None:
+        """Passes a request to the handler, or refuses it."""
+        if self.over_limit:
+            # The request was never sent to a backend, so it can be refused. Requests behind it need their
+            # answers too, so the connection stays open until then.
+            self.keep_alive = self.keep_alive and self.reader.has_input
+            self.server.counts["refused over limit"] += 1
+            log.debug("request_refused", id=request.id, reason="over the connection limit")
+            self.answer(503, self.server.over_limit_headers, b"no room for this connection\n")
+            return
+        if self.reading_paused and self.peer_closed():
+            self.server.abort_disconnected(self)
+            return
+        try:
+            call = self.server.handler.on_request(request, self)
+        except Exception:
+            log.exception("request_not_taken", id=request.id)
+            self.answer(500, NO_HEADERS, b"internal error\n")
+            return
+        if self.answering:
+            self.call = call
+
+    def answer(self, code: int, headers: Any, body: bytes) -> None:
+        """Writes the answer to the open request.
+
+        Raises RuntimeError if it has been answered already; nothing is written then.
+        """
+        if not self.answering:
+            raise RuntimeError("the request has already been answered")
+        self.answering = False
+        self.call = None
+        self.server.large_request_connections.discard(self)
+        transport = self.transport
+        if transport is None:
+            return
+        # Requests that have arrived behind this one must be answered before the connection closes.
+        drained = self.server.draining and not (self.has_partial_request or self.has_unread_data())
+        is_last = not self.keep_alive or drained
+        parts = [b"HTTP/1.1 %d %s\r\n" % (code, REASON_PHRASES.get(code, b"Status"))]
+        parts += [name + b": " + value + b"\r\n" for name, value in headers]
+        parts.append(b"content-length: %d\r\n" % len(body))
+        parts.append(b"connection: close\r\n\r\n" if is_last else b"\r\n")
+        parts.append(body)
+        transport.write(b"".join(parts))
+        if is_last:
+            self.close()
+            return
+        self.server.set_table(
+            self, self.server.awaiting_request if self.has_partial_request else self.server.idle
+        )
+        if self.has_work:
+            self.server.turns.wait(self)
+
+    def close(self) -> None:
+        """Closes once everything written has been sent.
+
+        If the peer may still be sending, only the write side is closed at first: closing a socket with unread
+        bytes resets the connection, and the reset can destroy an answer that is still in transit.
+        """
+        transport = self.transport
+        if transport is None or self.closing:
+            return
+        self.closing = True
+        self.server.set_table(self, self.server.closing)
+        lingers = (
+            self.discarding_input or self.reading_paused or self.has_partial_request or self.has_unread_data()
+        )
+        self.reader.discard()
+        if not lingers:
+            transport.close()
+            return
+        if self.reading_paused:
+            self.reading_paused = False
+            self.server.paused_connections.discard(self)
+            transport.resume_reading()
+        transport.write_eof()
+
+    def on_read_timeout(self) -> None:
+        """Closes the connection after REQUEST_READ_TIMEOUT_S; a partial request is answered with 408."""
+        self.reject_partial_request(Rejection(408, "the request did not end"))
+
+    def reject_partial_request(self, rejection: Rejection) -> None:
+        """Answers a partial request with this error; closes the connection if there is none."""
+        if self.has_partial_request:
+            self._reject_input(rejection)
+        else:
+            self.close()
+
+    @property
+    def has_partial_request(self) -> bool:
+        """Whether a request has been received in part, or is not parsed yet."""
+        return self.reader.has_partial_request or self.reader.has_input
+
+    @property
+    def fileno(self) -> int:
+        """The file descriptor of the socket; only valid while the transport is open."""
+        assert self.transport is not None
+        return int(self.transport.get_extra_info("socket").fileno())
+
+    def has_unread_data(self) -> bool:
+        """Returns whether there are bytes, maybe a request, that are unread or wait for their turn."""
+        if self.transport is None or self.transport.is_closing():
+            return False
+        return self.has_work or bool(self._poll(select.POLLIN))
+
+    def _poll(self, events: int) -> int:
+        poll = select.poll()
+        poll.register(self.fileno, events)
+        ready = poll.poll(0)
+        return ready[0][1] if ready else 0
+
+    def peer_closed(self) -> bool:
+        """Returns whether the peer has closed or reset, even if the event loop has not read that yet.
+
+        The end of a connection is behind its input, so this reads all that the peer has sent, up to
+        MAX_READ_AHEAD_BYTES (see `end_out_of_sight`).
+        """
+        self.end_out_of_sight = False
+        if self.transport is None or self.transport.is_closing():
+            return True
+        events = self._poll(select.POLLIN | PEER_CLOSED_EVENTS)
+        if events & PEER_CLOSED_EVENTS:
+            return True
+        return bool(events & select.POLLIN) and self._ends_behind_input()
+
+    def _ends_behind_input(self) -> bool:
+        while self.reader.input_size < MAX_READ_AHEAD_BYTES:
+            try:
+                data = os.read(self.fileno, LOOK_AHEAD_BYTES)
+            except BlockingIOError:
+                self.unread_since = None
+                return False
+            except OSError:
+                return True
+            if not data:
+                return True
+            if not (self.closing or self.discarding_input):
+                now = time.monotonic()
+                self.reader.add(data, now if self.unread_since is None else self.unread_since)
+        self.end_out_of_sight = True
+        return False
+
+    def abort(self) -> None:
+        """Closes the connection at once; unsent output is lost."""
+        self.closing = True
+        if self.transport is not None:
+            self.transport.abort()
--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -19,6 +19,7 @@
 from granitepoint.logic import Balancer
 from granitepoint.membership.list_lease import NOTIFIED_AFTER
 from granitepoint.membership.start_times import StartTimes
+from granitepoint.net.client_connection import Reply
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.discovery import DiscoveryClient
 from granitepoint.net.exchange import Exchange
@@ -26,7 +27,7 @@
 from granitepoint.net.listing import Listing, read_listing
 from granitepoint.net.logs import EventLogger
 from granitepoint.net.process_memory import resident_mb
-from granitepoint.net.server import Headers, Reply, Request
+from granitepoint.net.requests import Headers, Request
 from granitepoint.net.timing import NEXT_LOOP_ITERATION_S, STALL_THRESHOLD_S
 from granitepoint.net.upstream import UPSTREAM_DESCRIPTOR_SHARE, Upstream, Upstreams
 
@@ -388,6 +389,13 @@
         if exchange is not None:
             exchange.end(api.Status.TIMEOUT if exchange.sent else api.Status.MOOT)
 
+    def _answer_unseen(self, call: OpenCall) -> None:
+        """Answers a call without a further attempt: its caller may have left behind unread input."""
+        log.info("caller_out_of_sight", id=call.request.id, attempts=call.attempts)
+        self.counts["caller out of sight"] += 1
+        self._answer(call, 502 if call.may_have_run else 503, (), b"too much was sent behind this request\n")
+        self._enqueue(api.Gone(call.number))
+
     def _answer(self, call: OpenCall, code: int, headers: Any, body: bytes) -> None:
         """Sends the final answer. The call is removed first, so it can't be answered twice."""
         self._remove_call(call)
@@ -437,6 +445,8 @@
         def may_start() -> bool:
             if call.open and call.reply.peer_closed():
                 self.on_disconnect(call)
+            elif call.open and call.reply.end_out_of_sight:
+                self._answer_unseen(call)
             # The list may have expired during the connect, or while this process was stalled.
             return call.open and upstream.serving and self.balancer.list_lease.valid(time.monotonic())
 
--- a/granitepoint/net/listener.py
+++ b/granitepoint/net/listener.py
@@ -36,7 +36,7 @@
         self,
         host: str,
         port: int,
-        protocol_factory: Callable[[], asyncio.Protocol],
+        protocol_factory: Callable[[], asyncio.BaseProtocol],
         evict_connection: Callable[[], object],
     ) -> None:
         """Binds the address. `evict_connection` is called when the process has run out of descriptors.
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -25,8 +25,9 @@
 )
 
 from granitepoint.interface import Effect
+from granitepoint.net.client_connection import ClientConnection
 from granitepoint.net.logs import MAX_LINES_PER_EVENT, RateLimitFilter
-from granitepoint.net.server import ClientConnection, Server
+from granitepoint.net.server import Server
 
 # From the end of the request target on; without the empty line that ends the head.
 COMMON_HEAD = b" HTTP/1.1\r\nHost: x\r\nX-Call-Id: 0011223344556677\r\nX-Budget: 500m\r\n"
@@ -314,12 +315,12 @@
         caller = Caller(*await asyncio.open_connection("127.0.0.1", port))
         assert (await caller.call("stock", "a" * 16)).code == 200
         connection: ClientConnection = next(iter(server.connections))
-        assert connection.parser is not None and connection in server.idle
+        assert connection.reader.parser is not None and connection in server.idle
         caller.writer.close()
         async with asyncio.timeout(TEST_TIMEOUT_S):
             while server.connections:
                 await asyncio.sleep(0)
-        assert connection.parser is None
+        assert connection.reader.parser is None
         assert not (server.awaiting_request or server.idle or server.closing)
         server.stop_listening()
 
--- a/tests/test_driver.py
+++ b/tests/test_driver.py
@@ -14,10 +14,12 @@
 from granitepoint.interface import Arrival
 from granitepoint.net.config import Config
 from granitepoint.net.driver import Driver
-from granitepoint.net.server import Request
+from granitepoint.net.requests import Request
 
 
 class UnusedReply:
+    end_out_of_sight = False
+
     def answer(self, code: int, headers: Any, body: bytes) -> None:
         raise AssertionError("nothing is answered here")
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -38,7 +38,8 @@
 from granitepoint.net.driver import Driver
 from granitepoint.net.exchange import Exchange
 from granitepoint.net.listing import read_listing
-from granitepoint.net.server import KEEP_ALIVE_TIMEOUT_S, REQUEST_READ_TIMEOUT_S, Request, Server
+from granitepoint.net.requests import Request
+from granitepoint.net.server import KEEP_ALIVE_TIMEOUT_S, REQUEST_READ_TIMEOUT_S, Server
 from granitepoint.simulator_adapter import read_settings
 
 STOCK_REQUEST = b"GET /stock HTTP/1.1\r\nHost: x\r\nX-Call-Id: %016d\r\nX-Budget: 9000m\r\n\r\n"
@@ -419,7 +420,7 @@
                 (connection,) = server.connections
                 for behind in (2, 3):
                     caller.sendall(STOCK_REQUEST % behind)
-                    while len(connection.pending_requests) < behind - 1:
+                    while len(connection.reader.unparsed) < behind - 1:
                         await asyncio.sleep(0)
                 answered = time.monotonic()
                 for _ in range(2):
@@ -572,7 +573,7 @@
             _, reply = await handler.requests.get()
             server.draining = True
             caller.writer.write(STOCK_REQUEST % 2)
-            while already_read and not any(connection.pending_requests for connection in server.connections):
+            while already_read and not any(connection.reader.unparsed for connection in server.connections):
                 await asyncio.sleep(0)
             reply.answer(200, (), b"first")
             assert (await caller.answer()).body == b"first"
--- a/tests/test_modelcheck.py
+++ b/tests/test_modelcheck.py
@@ -18,7 +18,7 @@
 from granitepoint.modelcheck.check import CounterexampleFound, check
 from granitepoint.modelcheck.proxy import CLASSES, ProxyModel
 from granitepoint.modelcheck.world import BalancerFactory, RuleViolation
-from granitepoint.net.server import ClientConnection
+from granitepoint.net.client_connection import ClientConnection
 
 GENERATE_ONLY = (Phase.generate,)  # without shrinking
 
--- a/tests/test_request_lines.py
+++ b/tests/test_request_lines.py
@@ -12,8 +12,10 @@
 from netkit import Backend, Caller, proxy, run
 
 from granitepoint.interface import Effect
+from granitepoint.net.client_connection import Reply
 from granitepoint.net.request_lines import BadRequest, RequestSplitter
-from granitepoint.net.server import Reply, Request, Server
+from granitepoint.net.requests import Request
+from granitepoint.net.server import Server
 
 REST = b"\r\nHost: x\r\nX-Call-Id: 0123456789abcdef\r\nX-Budget: 900m\r\nContent-Length: 0\r\n\r\n"
 IMPROPER_LINES = {
