Account for the memory of callers' requests and answers before it is held

Processes passed memory_mb: limits were in bytes as received, while a field of 3 bytes takes some 200 in memory, the body of a request was kept as one object for each read, the process takes 24 to 26 MB where BASE_MEMORY_MB said 20, and nothing counted all connections together.

Now net/memory_account.py divides what is left beside the process, measured at the start: an allowance for each connection, and shared accounts for larger requests, input read ahead, and unread answers. What does not fit: the request unfinished for the longest is refused (503), input beyond the account is not read and its requests are refused, the answer unread for the longest is given up. A head has 128 fields at most (431). A fresh request after a pause of reading no longer counts as arrived at the pause.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -14,6 +14,8 @@
 from granitepoint.net import logs
 from granitepoint.net.config import Config, ConfigError, load, reload_discovery_address
 from granitepoint.net.driver import AT_CAPACITY_RETRY_AFTER_S, Driver
+from granitepoint.net.memory_account import BASE_MEMORY_MB
+from granitepoint.net.process_memory import resident_mb
 from granitepoint.net.server import Server
 
 log = logs.EventLogger("granitepoint.main")
@@ -93,7 +95,8 @@
         loop.add_signal_handler(signal_number, terminated.set)
     driver = Driver(config)
     over_limit_headers = driver.retry_after_headers(AT_CAPACITY_RETRY_AFTER_S)
-    server = Server(driver.effects, driver, config.sockets, config.memory_mb, over_limit_headers)
+    process_mb = resident_mb() or BASE_MEMORY_MB
+    server = Server(driver.effects, driver, config.sockets, config.memory_mb, over_limit_headers, process_mb)
     driver.caller_counts, driver.caller_figures = server.counts, server.figures
     # SIGHUP is handled before the proxy is ready, and also during the shutdown.
     loop.add_signal_handler(signal.SIGHUP, reload, driver)
--- a/granitepoint/cli/check.py
+++ b/granitepoint/cli/check.py
@@ -18,7 +18,7 @@
 from granitepoint.net.config import flatten_settings, parse_ipv4_address, parse_seed
 from granitepoint.net.listing import read_listing
 from granitepoint.net.logs import read_log_options
-from granitepoint.net.server import BASE_MEMORY_MB
+from granitepoint.net.memory_account import BASE_MEMORY_MB
 from granitepoint.simulator_adapter import read_settings
 
 MAX_FILE_BYTES = 64 << 20  # a list of 100,000 servers takes a third of it
--- a/granitepoint/cli/explain.py
+++ b/granitepoint/cli/explain.py
@@ -15,7 +15,7 @@
 from granitepoint import admission, logic
 from granitepoint.interface import Effect, ListKind, RequestClass, ServerList, Settings
 from granitepoint.membership import backoff, list_lease
-from granitepoint.net import discovery, driver, request_reader, server, upstream
+from granitepoint.net import discovery, driver, memory_account, request_reader, server, upstream
 from granitepoint.net.config import Config, ConfigError
 from granitepoint.net.listing import read_listing
 
@@ -230,6 +230,7 @@
     upstreams = upstream.Upstreams(settings.connect_timeout, settings.conn_idle, max_connections)
     reserved = min(server.RESERVED_DESCRIPTORS, config.sockets // 10)
     over_limit = caller_server.max_connections - caller_server.max_served_connections
+    per_connection = memory_account.CONNECTION_BYTES + caller_server.memory.read_size
     large_body_kb = request_reader.LARGE_BODY_BYTES // 1024
     return Section("connections and memory", [
         Entry("descriptors", config.sockets, "descriptors", "that the process may have open"),
@@ -237,9 +238,16 @@
         Entry("reserve", reserved, "descriptors", "for the listener, discovery, the event loop and the log"),
         Entry("from callers", caller_server.max_served_connections, "descriptors",
               f"for callers, at most; {over_limit} more connections are accepted only to be refused"),
-        Entry("memory", config.memory_mb, "MB", f"of these {server.BASE_MEMORY_MB} in use before it serves"),
-        Entry("of a caller", server.CONNECTION_MEMORY_MB, "MB",
-              "at most, for a connection: a request with its copy, and an answer"),
+        Entry("memory", config.memory_mb, "MB",
+              f"of these about {memory_account.BASE_MEMORY_MB:.0f} in use before it serves"),
+        Entry("of a caller", per_connection / 1024, "KB",
+              "set aside for each connection: its objects and what it may hold of input without a charge"),
+        Entry("requests", caller_server.memory.requests.limit // 1024, "KB",
+              "shared by the requests beyond that; the ones unfinished for the longest are refused"),
+        Entry("read ahead", caller_server.memory.read_ahead.limit // 1024, "KB",
+              "shared by input behind an open request, which is read to see the end of its connection"),
+        Entry("answers", caller_server.memory.answers.limit // 1024, "KB",
+              "shared by answers that callers do not read"),
         Entry("long requests", caller_server.max_large_requests, "requests",
               f"larger than {large_body_kb} KB, at a time"),
         Entry("request", request_reader.MAX_BODY_BYTES // 1024, "KB",
--- a/granitepoint/faults/hostile_peers.py
+++ b/granitepoint/faults/hostile_peers.py
@@ -1,6 +1,7 @@
 """Hostile clients of one proxy, in a process of their own: crowds of connections, and floods on one.
 
-A crowd keeps many connections open, opens each one anew when it is closed, and never completes a request.
+A crowd keeps many connections open and opens each one anew when it is closed. Most kinds never complete a
+request; others flood on each of them, or never read the answers.
 A flood writes complete requests on one connection as fast as the proxy reads them; it reads the answers and
 drops them.
 
@@ -33,6 +34,8 @@
 
     first: bytes
     drip: bytes = b""
+    repeats: bool = False  # sends the first bytes again and again
+    reads: bool = True  # reads what the proxy sends
 
 
 CROWDS = {
@@ -45,6 +48,12 @@
         b"POST /release" + REQUEST_START + b"Content-Length: 65536\r\n\r\n", drip=b"b" * 500
     ),
     "silent": CrowdKind(b""),
+    "fields-within-limits": CrowdKind(
+        b"GET /look-up" + REQUEST_START + SHORT_FIELD * 100 + b"X-Long: " + b"v" * 20_000
+    ),
+    "unread-answers": CrowdKind(b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n" * 500, repeats=True, reads=False),
+    "floods": CrowdKind(b"GET /look-up HTTP/1.1\r\nHost: x\r\nX-Field: 1\r\n\r\n" * 500, repeats=True),
+    "valid-floods": CrowdKind((b"GET /look-up" + REQUEST_START + b"\r\n") * 500, repeats=True),
 }
 
 
@@ -114,7 +123,11 @@
         connection = HostileConnection(client, memoryview(self.kind.first), time.monotonic())
         self.connections.add(connection)
         self.opened += 1
-        self.selector.register(client, selectors.EVENT_READ | selectors.EVENT_WRITE, connection)
+        self.selector.register(client, self._events(writes=True), connection)
+
+    def _events(self, writes: bool) -> int:
+        reads = selectors.EVENT_READ if self.kind.reads else 0
+        return reads | (selectors.EVENT_WRITE if writes else 0)
 
     def _on_ready(self, connection: HostileConnection, events: int) -> None:
         try:
@@ -123,8 +136,10 @@
                 return
             if events & selectors.EVENT_WRITE:
                 connection.unsent = connection.unsent[connection.socket.send(connection.unsent) :]
-                if not connection.unsent:
-                    self.selector.modify(connection.socket, selectors.EVENT_READ, connection)
+                if not connection.unsent and self.kind.repeats:
+                    connection.unsent = memoryview(self.kind.first)
+                elif not connection.unsent:
+                    self.selector.modify(connection.socket, self._events(writes=False), connection)
         except BlockingIOError:
             pass
         except OSError:
--- a/granitepoint/net/client_connection.py
+++ b/granitepoint/net/client_connection.py
@@ -9,8 +9,9 @@
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from granitepoint.net.logs import EventLogger
+from granitepoint.net.memory_account import MAX_READ_AHEAD_BYTES
 from granitepoint.net.request_lines import Rejection
-from granitepoint.net.request_reader import HealthCheck, Incoming, RequestReader
+from granitepoint.net.request_reader import CHUNK_OBJECT_BYTES, HealthCheck, Incoming, RequestReader
 from granitepoint.net.requests import Headers, Request
 
 if TYPE_CHECKING:
@@ -18,11 +19,12 @@
 
 log = EventLogger(__name__)
 
-MAX_READ_AHEAD_BYTES = 4 << 20  # read behind an open request to see the end of the connection
-LOOK_AHEAD_BYTES = 64 * 1024  # of one read that looks for that end
 MAX_PIECES_PER_SLICE = 16  # pieces of input parsed in one turn of the event loop; a small request has two
-READ_BYTES = 16 * 1024  # of one read; reading pauses while more than this waits for its turn
+REQUEST_COPIES = 2  # of a request's bytes in memory: as it came, and as it is sent
+# Of one read that looks for the end of a connection: in small pieces, input takes many times its size.
+MIN_LOOK_AHEAD_BYTES, MAX_LOOK_AHEAD_BYTES = 1024, 64 * 1024
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR  # closed or reset
+NO_MEMORY = Rejection(503, "no memory for this request")
 REASON_PHRASES = {
     200: b"OK", 400: b"Bad Request", 404: b"Not Found", 408: b"Request Timeout", 409: b"Conflict",
     413: b"Content Too Large", 431: b"Request Header Fields Too Large", 500: b"Internal Server Error",
@@ -69,8 +71,8 @@
     """One connection of a caller. Pipelined requests are answered in order, each exactly once."""
 
     __slots__ = (
-        "answering", "call", "closing",
-        "discarding_input", "end_out_of_sight", "keep_alive", "over_limit", "reader",
+        "answering", "call", "charged_answers", "charged_input", "charged_requests", "closing",
+        "discarding_input", "end_out_of_sight", "keep_alive", "open_size", "over_limit", "reader",
         "reading_paused", "server", "table", "table_since", "transport", "unread_since", "write_blocked",
     )  # fmt: skip
 
@@ -80,6 +82,7 @@
         self.reader = RequestReader(self, server.effects)
         self.call: object | None = None  # the handler's object for the request that waits for its answer
         self.answering = False  # a request waits for its answer
+        self.open_size = 0  # bytes of that request
         self.keep_alive = True
         # After invalid input the rest is read and dropped: a close on unread bytes could lose the answer.
         self.discarding_input = False
@@ -93,11 +96,13 @@
         # Monotonic; what is read next may have arrived from then on. None: it is read as it arrives.
         self.unread_since: float | None = None
         self.end_out_of_sight = False
+        self.charged_input = self.charged_requests = self.charged_answers = 0  # bytes
 
     # Transport callbacks
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Registers the new connection with the server."""
         self.transport = cast(asyncio.Transport, transport)  # uvloop's does not inherit from it
+        self.transport.set_write_buffer_limits(high=self.server.memory.read_size)
         self.server.add(self)
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -105,6 +110,8 @@
         self.transport = None
         self.closing = True
         self.reader.close()
+        self.open_size = 0
+        self._update_charges()
         self.server.remove(self)
         call, self.call = self.call, None
         if call is not None:
@@ -113,11 +120,14 @@
     def pause_writing(self) -> None:
         """The write buffer is full: the next request waits until the peer has read."""
         self.write_blocked = True
+        if self.transport is not None:
+            self.server.hold_unsent(self, self.transport.get_write_buffer_size())
         self._update_reading()
 
     def resume_writing(self) -> None:
         """The write buffer has drained."""
         self.write_blocked = False
+        self.server.release_unsent(self)
         if self.has_work:
             self.server.turns.wait(self)
         self._update_reading()
@@ -135,29 +145,41 @@
         if self.closing or self.discarding_input:
             return
         self.reader.add(data, time.monotonic() if self.unread_since is None else self.unread_since)
-        if len(data) < READ_BYTES:
+        if len(data) < self.server.memory.read_size:
             self.unread_since = None  # nothing is left in the socket
         if self.table is self.server.idle:
             self.server.set_table(self, self.server.awaiting_request)  # the next request has started
         if self.has_work:
             self.server.turns.run(self)
+        self._update_charges()
         self._update_reading()
 
     def _update_reading(self) -> None:
         """Pauses reading while the peer does not read its answers or has sent too much ahead of them."""
         if self.transport is None or self.closing:
             return
-        pause = self.write_blocked or self.reader.input_size > READ_BYTES
+        pause = self.write_blocked or self.reader.input_size > self.server.memory.read_size
         if pause and not self.reading_paused:
             self.transport.pause_reading()
             self.server.paused_connections.add(self)
             if self.unread_since is None:
                 self.unread_since = time.monotonic()
         elif self.reading_paused and not pause:
+            if not self.transport.is_closing() and not self._poll(select.POLLIN):
+                self.unread_since = None
             self.transport.resume_reading()
             self.server.paused_connections.discard(self)
         self.reading_paused = pause
 
+    def _update_charges(self) -> bool:
+        """Charges what is held beyond the connection's allowance; returns whether there is memory for it."""
+        allowance = 2 * (self.server.memory.read_size + CHUNK_OBJECT_BYTES)
+        charge = max(0, self.reader.input_size - allowance)
+        self.server.memory.read_ahead.charge(charge - self.charged_input)
+        self.charged_input = charge
+        charge = max(0, REQUEST_COPIES * (self.reader.partial_size + self.open_size) - allowance)
+        return charge == self.charged_requests or self.server.hold_request(self, charge)
+
     # Owner of the reader
     def reserve_large_request(self) -> bool:
         """Returns whether a large request may be held for this connection."""
@@ -183,6 +205,8 @@
             incoming = self.reader.advance()
             if incoming is not None:
                 self._process(incoming)
+            if not self._update_charges():
+                self._reject_input(NO_MEMORY)
         self._update_reading()
         return self.has_work
 
@@ -220,6 +244,12 @@
         if self.reading_paused and self.peer_closed():
             self.server.abort_disconnected(self)
             return
+        if self.reading_paused and self.end_out_of_sight:
+            self.server.counts["refused out of sight"] += 1
+            log.debug("request_refused", id=request.id, reason="too much was sent behind it")
+            self.answer(503, self.server.over_limit_headers, b"too much was sent behind this request\n")
+            return
+        self.open_size = len(request.head) + len(request.body)
         try:
             call = self.server.handler.on_request(request, self)
         except Exception:
@@ -238,6 +268,8 @@
             raise RuntimeError("the request has already been answered")
         self.answering = False
         self.call = None
+        self.open_size = 0
+        self._update_charges()
         self.server.large_request_connections.discard(self)
         transport = self.transport
         if transport is None:
@@ -275,6 +307,7 @@
             self.discarding_input or self.reading_paused or self.has_partial_request or self.has_unread_data()
         )
         self.reader.discard()
+        self._update_charges()
         if not lingers:
             transport.close()
             return
@@ -321,8 +354,8 @@
     def peer_closed(self) -> bool:
         """Returns whether the peer has closed or reset, even if the event loop has not read that yet.
 
-        The end of a connection is behind its input, so this reads all that the peer has sent, up to
-        MAX_READ_AHEAD_BYTES (see `end_out_of_sight`).
+        The end of a connection is behind its input, so this reads all that the peer has sent, as far as there
+        is memory for it (see `end_out_of_sight`).
         """
         self.end_out_of_sight = False
         if self.transport is None or self.transport.is_closing():
@@ -332,10 +365,17 @@
             return True
         return bool(events & select.POLLIN) and self._ends_behind_input()
 
+    def _read_ahead_room(self) -> int:
+        """Returns how many more bytes may be read ahead: those of its allowance, or of the shared account."""
+        memory = self.server.memory
+        shared = min(memory.read_ahead.free, MAX_READ_AHEAD_BYTES - self.charged_input)
+        room = max(memory.read_size - self.reader.input_size, shared) - CHUNK_OBJECT_BYTES
+        return room if room >= MIN_LOOK_AHEAD_BYTES else 0
+
     def _ends_behind_input(self) -> bool:
-        while self.reader.input_size < MAX_READ_AHEAD_BYTES:
+        while (room := self._read_ahead_room()) > 0:
             try:
-                data = os.read(self.fileno, LOOK_AHEAD_BYTES)
+                data = os.read(self.fileno, min(room, MAX_LOOK_AHEAD_BYTES))
             except BlockingIOError:
                 self.unread_since = None
                 return False
@@ -346,6 +386,7 @@
             if not (self.closing or self.discarding_input):
                 now = time.monotonic()
                 self.reader.add(data, now if self.unread_since is None else self.unread_since)
+                self._update_charges()
         self.end_out_of_sight = True
         return False
 
--- a/granitepoint/net/request_reader.py
+++ b/granitepoint/net/request_reader.py
@@ -21,8 +21,10 @@
 MAX_BODY_BYTES = 256 * 1024  # of a request
 LARGE_BODY_BYTES = 64 * 1024  # a body above this is large; only max_large_requests are held at once
 MAX_HEAD_BYTES = 32 * 1024  # target and headers of a request
+MAX_HEAD_FIELDS = 128
 MAX_RAW_REQUEST_BYTES = MAX_HEAD_BYTES + 2 * MAX_BODY_BYTES  # as received, with the framing of chunks
 CHUNK_OBJECT_BYTES = 128  # memory of a chunk of input beside its bytes
+FIELD_OBJECT_BYTES = 192  # memory of a parsed header beside its bytes
 
 
 class HealthCheck(Enum):
@@ -112,6 +114,11 @@
         """
         return self.in_message or self._raw_bytes > 0
 
+    @property
+    def partial_size(self) -> int:
+        """Bytes of memory of the request that has been parsed in part."""
+        return self._raw_bytes + FIELD_OBJECT_BYTES * len(self._headers)
+
     def add(self, data: bytes, arrived_at: float) -> None:
         """Adds bytes that have been read, and arrived at this monotonic time or later."""
         self.unparsed.append((data, arrived_at))
@@ -160,9 +167,9 @@
         """Drops all input and the partial request."""
         self.unparsed.clear()
         self._pieces = None
-        self.input_size = 0
-        self._body = bytearray()
-        self._headers = []
+        self.input_size = self._raw_bytes = 0
+        self.in_message = False
+        self._start_request()
 
     def close(self) -> None:
         """Drops everything. The parser refers to this object, which would stay until the next collection."""
@@ -184,6 +191,8 @@
         """Adds a header; a trailer only counts towards the size limit."""
         self._add_head_size(len(name) + len(value))
         if not self._headers_complete:
+            if len(self._headers) >= MAX_HEAD_FIELDS:
+                raise BadRequest(431, "too many headers")
             self._headers.append(normalize_header(name, value))
 
     def _add_head_size(self, size: int) -> None:
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -12,14 +12,16 @@
 from granitepoint.interface import Effect
 from granitepoint.net.client_connection import (
     NO_HEADERS,
+    NO_MEMORY,
     PEER_CLOSED_EVENTS,
-    READ_BYTES,
     ClientConnection,
     Handler,
 )
 from granitepoint.net.fair_turns import FairTurns
 from granitepoint.net.listener import Listener
 from granitepoint.net.logs import EventLogger
+from granitepoint.net.memory_account import BASE_MEMORY_MB, plan_memory
+from granitepoint.net.process_memory import MEBIBYTE
 from granitepoint.net.request_lines import Rejection
 from granitepoint.net.request_reader import MAX_BODY_BYTES
 from granitepoint.net.requests import Headers
@@ -45,9 +47,7 @@
 MAX_EVICTION_CHECKS = 8
 # Share of the caller connections that is kept for connections over the limit, whose requests are refused.
 OVER_LIMIT_SHARE = 0.12
-BASE_MEMORY_MB = 20  # used by the process before it serves requests
-LARGE_BODY_MEMORY_SHARE = 0.1  # of the memory above BASE_MEMORY_MB, for large requests
-CONNECTION_MEMORY_MB = 0.125  # per connection: a request, its copy and an answer
+LARGE_BODY_MEMORY_SHARE = 0.1  # of the memory beside the process itself, for large requests
 
 
 class Server:
@@ -64,27 +64,31 @@
         sockets: int,
         memory_mb: float,
         over_limit_headers: Headers = NO_HEADERS,
+        process_mb: float = BASE_MEMORY_MB,
     ) -> None:
+        """`sockets` and `memory_mb` are the limits of the process, which takes `process_mb` MB as it is."""
         self.loop = asyncio.get_running_loop()
         self.over_limit_headers = over_limit_headers  # of a refusal over the connection limit
         self.effects, self.handler = effects, handler
         reserved = int(sockets * UPSTREAM_DESCRIPTOR_SHARE) + min(RESERVED_DESCRIPTORS, sockets // 10)
-        memory_limit = int(max(1.0, memory_mb - BASE_MEMORY_MB) / CONNECTION_MEMORY_MB)
+        self.memory = plan_memory(memory_mb, process_mb, max(8, sockets - reserved))
         # A large request is held together with its copy.
         self.max_large_requests = max(
-            1, int(LARGE_BODY_MEMORY_SHARE * (memory_mb - BASE_MEMORY_MB) * 2**20 / (2 * MAX_BODY_BYTES))
+            1, int(LARGE_BODY_MEMORY_SHARE * (memory_mb - process_mb) * MEBIBYTE / (2 * MAX_BODY_BYTES))
         )
-        self.max_connections = max(8, min(sockets - reserved, memory_limit))
+        self.max_connections = max(8, self.memory.max_connections)
         self.max_served_connections = self.max_connections - int(self.max_connections * OVER_LIMIT_SHARE)
         self.connections: set[ClientConnection] = set()
         self.over_limit_connections: set[ClientConnection] = set()  # opened over the connection limit
         self.paused_connections: set[ClientConnection] = set()  # reading is paused
         self.large_request_connections: set[ClientConnection] = set()  # hold a large request
+        self.unfinished: dict[ClientConnection, None] = {}  # hold a charged part of a request, oldest first
+        self.write_blocked: dict[ClientConnection, None] = {}  # hold a charged unsent answer, oldest first
         self.awaiting_request: dict[ClientConnection, None] = {}  # no complete request yet
         self.idle: dict[ClientConnection, None] = {}  # answered, keep-alive
         self.closing: dict[ClientConnection, None] = {}  # the last answer has been written
         self.turns = FairTurns(self.loop)
-        self.read_buffer = memoryview(bytearray(READ_BYTES))  # for the reads of all connections
+        self.read_buffer = memoryview(bytearray(self.memory.read_size))  # for the reads of all connections
         self.draining = False  # graceful shutdown: each answer closes its connection
         self.listener: Listener | None = None
         self.sweep_due = 0.0  # s, monotonic; when the next check for timed-out connections is due
@@ -107,10 +111,57 @@
             self.large_request_connections.add(connection)
         return connection in self.large_request_connections
 
+    def hold_request(self, connection: ClientConnection, size: int) -> bool:
+        """Sets what a connection's request takes beyond its allowance, in bytes; returns whether it fits.
+
+        Where it does not, the requests that have been unfinished for the longest are refused.
+        """
+        more = size - connection.charged_requests
+        if connection.answering:  # what was read and passed on is kept
+            self.memory.requests.charge(more)
+            more = 0
+        while not self.memory.requests.try_charge(more):
+            oldest = next((each for each in self.unfinished if each is not connection), None)
+            if oldest is None:
+                return False
+            del self.unfinished[oldest]
+            self.counts["refused unfinished"] += 1
+            oldest.reject_partial_request(NO_MEMORY)
+        connection.charged_requests = size
+        if not size or connection.answering:
+            self.unfinished.pop(connection, None)
+        else:
+            self.unfinished.setdefault(connection)
+        return True
+
+    def hold_unsent(self, connection: ClientConnection, size: int) -> None:
+        """Charges an answer that the peer does not read, in bytes; others are ended for it, the oldest first.
+
+        A single one may exceed the limit: its connection is answered no further until the peer has read.
+        """
+        self.write_blocked.setdefault(connection)
+        while not self.memory.answers.try_charge(size - connection.charged_answers):
+            oldest = next((each for each in self.write_blocked if each is not connection), None)
+            if oldest is None:
+                self.memory.answers.charge(size - connection.charged_answers)
+                break
+            self.release_unsent(oldest)
+            self.counts["caller ended unread answer"] += 1
+            oldest.abort()
+        connection.charged_answers = size
+
+    def release_unsent(self, connection: ClientConnection) -> None:
+        """Releases what was charged for an unsent answer."""
+        self.write_blocked.pop(connection, None)
+        self.memory.answers.charge(-connection.charged_answers)
+        connection.charged_answers = 0
+
     def remove(self, connection: ClientConnection) -> None:
         """Forgets a connection that is closed."""
         self.set_table(connection, None)
         self.turns.remove(connection)
+        self.release_unsent(connection)
+        self.unfinished.pop(connection, None)
         self.connections.discard(connection)
         self.over_limit_connections.discard(connection)
         self.paused_connections.discard(connection)
@@ -164,6 +215,9 @@
             "callers.awaiting_request": len(self.awaiting_request),
             "callers.idle": len(self.idle),
             "callers.paused": len(self.paused_connections),
+            "memory.requests_mb": self.memory.requests.charged / MEBIBYTE,
+            "memory.read_ahead_mb": self.memory.read_ahead.charged / MEBIBYTE,
+            "memory.answers_mb": self.memory.answers.charged / MEBIBYTE,
         }
 
     async def listen(self, host: str, port: int) -> int:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -719,6 +719,23 @@
     run(test())
 
 
+def test_a_request_is_refused_while_more_is_sent_behind_it_than_may_be_read() -> None:
+    """Whether its caller has closed can't be seen, so no attempt may begin; the connection stays usable."""
+
+    async def test() -> None:
+        async with in_process_proxy() as proxy:
+            proxy.server.memory.read_ahead.limit = 200_000
+            caller = await proxy.caller()
+            number = 4000
+            caller.writer.write(b"".join(STOCK_REQUEST % each for each in range(number)))
+            assert (await caller.answer()).code == 503
+            assert not proxy.backend.call_count
+            assert {(await caller.answer()).code for _ in range(number - 1)} <= {200, 503}
+            assert (await caller.call("stock", FIRST_ID)).code == 200
+
+    run(test())
+
+
 @pytest.mark.parametrize("cls", ["stock", "reserva", "canje"])
 def test_an_id_that_comes_again_after_its_caller_left_during_the_attempt_does_not_run_twice(cls: str) -> None:
     async def test() -> None:
