Accept several connections in a turn while there are places for them

Beside 300 connections that pipeline small requests, new callers waited for up to 1.8 s in the backlog: one connection was accepted in a turn, and the next when that one was attached, two turns later. That order is needed only at the connection limit, where the next one may cost another its place. Below it, up to 16 are accepted.

--- a/granitepoint/fleet/proxies.py
+++ b/granitepoint/fleet/proxies.py
@@ -95,7 +95,9 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Starts listening and returns the port."""
-        self.listener = Listener(host, port, lambda: TimedConnection(self), self._evict_connection)
+        self.listener = Listener(
+            host, port, lambda: TimedConnection(self), self._evict_connection, self._free_places
+        )
         self._sweep_later()
         return self.listener.port
 
--- a/granitepoint/net/listener.py
+++ b/granitepoint/net/listener.py
@@ -17,6 +17,7 @@
 log = EventLogger(__name__)
 
 BACKLOG = 1024  # maximum number of connections that the kernel queues until they are accepted
+MAX_ACCEPTS_PER_TURN = 16  # of the event loop
 ACCEPT_RETRY_DELAY_S = 0.01  # after accept failed because this machine lacked a resource
 # Errors of the accepted connection itself, which is then gone. All other errors are temporary conditions of
 # this machine: the connections stay in the backlog, so accept can be retried later.
@@ -38,13 +39,16 @@
         port: int,
         protocol_factory: Callable[[], asyncio.BaseProtocol],
         evict_connection: Callable[[], object],
+        free_places: Callable[[], int] = lambda: 0,
     ) -> None:
         """Binds the address. `evict_connection` is called when the process has run out of descriptors.
 
+        `free_places` returns how many connections can be served beside those that are attached.
         Raises OSError if the address is unavailable.
         """
         self.loop = asyncio.get_running_loop()
         self.protocol_factory, self.evict_connection = protocol_factory, evict_connection
+        self.free_places = free_places
         # The loop's create_server() would resolve even a numeric host, in four threads that then stay.
         self.socket = socket.create_server((host, port), backlog=BACKLOG)
         self.socket.setblocking(False)
@@ -73,24 +77,32 @@
             self.socket.close()
 
     def _accept(self) -> None:
-        """Accepts one connection per turn of the event loop, and the next one only when this one is attached.
+        """Accepts some connections while there are places, else one; the next when these are attached.
 
-        In between, requests of earlier connections are read and answered, so that these can be evicted. When
-        all were accepted at once, those over the connection limit were reset with their requests unread.
+        At the connection limit, requests of earlier connections are read and answered in between, so that
+        these can be evicted. When all were accepted at once, those over the limit were reset with their
+        requests unread.
         """
         if self.attaching:
             return
+        for _ in range(max(1, min(MAX_ACCEPTS_PER_TURN, self.free_places()))):
+            if not self._accept_one():
+                return
+
+    def _accept_one(self) -> bool:
+        """Accepts the next connection; returns False if there is none or accept failed."""
         try:
             accepted, _ = self.socket.accept()
         except (BlockingIOError, InterruptedError):
-            return
+            return False
         except OSError as error:
             if error.errno not in PEER_ERRNOS:
                 self._retry_later(error)
-            return
+            return False
         task = self.loop.create_task(self._attach(accepted))
         self.attaching.add(task)
         task.add_done_callback(self.attaching.discard)
+        return True
 
     def _retry_later(self, error: OSError) -> None:
         """Stops polling the socket for a while: it stays readable, so the event loop would spin."""
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -186,6 +186,10 @@
             return
         self.set_table(connection, self.awaiting_request)
 
+    def _free_places(self) -> int:
+        """Returns how many more connections can be served without an eviction."""
+        return self.max_served_connections - len(self.connections)
+
     def _evict_connection(self, among_over_limit: bool = False) -> bool:
         """Aborts one unused connection; returns whether one was found.
 
@@ -222,7 +226,9 @@
 
     async def listen(self, host: str, port: int) -> int:
         """Starts to accept connections and returns the port. Raises OSError if the address is unavailable."""
-        self.listener = Listener(host, port, lambda: ClientConnection(self), self._evict_connection)
+        self.listener = Listener(
+            host, port, lambda: ClientConnection(self), self._evict_connection, self._free_places
+        )
         self._sweep_later()
         return self.listener.port
 
