Keep the ids of requests that may have run for as long as an attempt may still run

An id that came again after its client had left ran twice: Driver._attempt_ended and _remove_call forgot the id when the exchange ended by the cancel, while the server may still run it. Ruled out: the check of ids in use; it held while the first attempt was in flight (409).

Now an id of which an attempt was sent whole is kept for two longest deadlines (10 to 60 s) and gets 409. Ids are kept as hashes in four generations (executed_ids.py, without a clock); none is pushed out by new names, as a request is refused while there is no room. An id that surely never ran may run: the earlier call is ended first if its caller has closed, and an attempt of it that is not sent whole is given up.

--- a/granitepoint/net/driver.py
+++ b/granitepoint/net/driver.py
@@ -16,6 +16,7 @@
 from typing import Any
 
 from granitepoint import interface as api
+from granitepoint.executed_ids import ExecutedIds, time_to_keep
 from granitepoint.logic import Balancer
 from granitepoint.membership.list_lease import NOTIFIED_AFTER
 from granitepoint.membership.start_times import StartTimes
@@ -47,6 +48,8 @@
 MAX_REPORT_VALUE = 1e6  # in any unit; a larger value is implausible, and would outweigh all other reports
 PROBE_TIMEOUT_S = 0.2  # a later report is too old to be useful
 DROPPED_HEADERS = HOP_BY_HOP_HEADERS | {b"x-load-report", b"x-rejected"}  # of answers; not sent to callers
+# Ids of requests that may have run: at least so many are kept, and so many for each MB of the memory limit.
+MIN_EXECUTED_IDS, EXECUTED_IDS_PER_MB = 10_000, 400
 READY_TIMEOUT_S = 5.0  # after the start; then a proxy is ready even without a list, and refuses calls
 STATISTICS_INTERVAL_S = 5.0  # between two log lines of statistics
 # Names of the fields of a load report: on the wire -> in the balancer.
@@ -121,7 +124,11 @@
         )
         self.calls: dict[int, OpenCall] = {}
         self.in_flight: dict[int, Exchange] = {}  # attempts by call, also those whose caller has left
-        self.active_ids: set[bytes] = set()  # request ids of open calls and of attempts in flight
+        self.active_ids: dict[bytes, OpenCall] = {}  # by id: open calls, and those with an attempt in flight
+        self.executed_ids = ExecutedIds(
+            time_to_keep(max(self.deadlines.values())),
+            max(MIN_EXECUTED_IDS, int(config.memory_mb * EXECUTED_IDS_PER_MB)),
+        )
         self.calls_taken = 0  # accepted since the start; also the number of the latest call
         self.probes_in_flight = 0
         self.events: list[api.Event] = []  # the next batch for the balancer
@@ -321,10 +328,16 @@
 
     def on_request(self, request: Request, reply: Reply) -> OpenCall | None:
         """Accepts a request for the balancer. Returns None if it was answered at once with an error."""
-        if request.id in self.active_ids:
-            # An earlier request with this id is still in progress: a second copy could run at the same time.
+        if self._may_have_run(request.id):
+            self.counts["answer 409"] += 1
+            if self.debug_enabled:
+                log.debug("id_comes_again", id=request.id, cls=request.cls)
             reply.answer(409, (), b"this X-Call-Id is in use\n")
             return None
+        if not self.executed_ids.has_room(time.monotonic(), len(self.active_ids) + 1):
+            self.counts["refused without room for ids"] += 1
+            reply.answer(503, self.retry_after_headers(AT_CAPACITY_RETRY_AFTER_S), b"too many calls\n")
+            return None
         if self.settings.most_held and len(self.calls) >= self.settings.most_held:
             reply.answer(503, self.retry_after_headers(AT_CAPACITY_RETRY_AFTER_S), b"too many calls\n")
             return None
@@ -341,7 +354,7 @@
         deadline = request.received_at + stated_budget - margin
         call = OpenCall(number, request, reply, min(deadline, self.shutdown_deadline))
         self.calls[number] = call
-        self.active_ids.add(request.id)
+        self.active_ids[request.id] = call
         now = time.monotonic()
         call.timer = self.loop.call_later(max(0.0, call.deadline - now), self._on_deadline, call)
         self._enqueue(
@@ -358,6 +371,20 @@
         )
         return call
 
+    def _may_have_run(self, id: bytes) -> bool:
+        """Returns whether a request with this id runs, or may have run, or may yet.
+
+        One whose caller has left before an attempt was sent whole is ended here, so that it never runs.
+        """
+        earlier = self.active_ids.get(id)
+        if earlier is not None:
+            if earlier.open and earlier.reply.peer_closed():
+                self.on_disconnect(earlier)
+            exchange = earlier.exchange
+            if not earlier.open and exchange is not None and not exchange.sent:
+                exchange.cancel()
+        return id in self.active_ids or self.executed_ids.contains(id, time.monotonic())
+
     def retry_after_headers(self, wait: float) -> Headers:
         """Returns the Retry-After header for `wait` seconds; none if `wait` is 0 or the settings forbid it.
 
@@ -408,7 +435,7 @@
         call.open = False
         self.calls.pop(call.number, None)
         if call.exchange is None:
-            self.active_ids.discard(call.request.id)
+            self.active_ids.pop(call.request.id, None)
         if call.timer is not None:
             call.timer.cancel()
         if not self.calls and self.on_drained is not None:
@@ -487,8 +514,9 @@
             )  # fmt: skip
         if status not in api.NEVER_RAN:
             call.may_have_run = True
+            self.executed_ids.add(call.request.id, time.monotonic())
         if not call.open:
-            self.active_ids.discard(call.request.id)
+            self.active_ids.pop(call.request.id, None)
         elif status is api.Status.OK:
             headers = [pair for pair in exchange.headers if pair[0] not in DROPPED_HEADERS]
             self._answer(call, 200, headers, exchange.body)
