--- a/tests/test_modelcheck.py
+++ b/tests/test_modelcheck.py
@@ -161,6 +161,18 @@
     assert "def test_found()" in capsys.readouterr().out
 
 
+def test_requests_of_the_model_reach_its_backends() -> None:
+    model = ProxyModel(0, 2, 64)
+    try:
+        client = model.connect_client()
+        assert client is not None
+        client.send(model.create_request(client, CLASSES[0], 1.0))
+        model.run(0.1)
+        assert model.received_attempts
+    finally:
+        model.close()
+
+
 def test_requests_pipelined_behind_a_refused_one_on_a_connection_over_the_limit_are_refused_too() -> None:
     model = ProxyModel(0, 1, 64)
     try:
