Bound what answers of servers and the zones of lists take of memory

The same mistake as with callers, in related code: a head of an answer was counted in bytes after the whole read was parsed (4,000 headers of 3 bytes passed), the body kept one object for each read of up to 256 KB, all answers in progress together had no bound, and Servers.zone_load kept each zone that a list had ever named.

Now headers are counted before they are held (128 at most), a read takes 16 KB into a shared buffer, answers beyond 16 KB charge an account and wait for one another where it is full (the oldest always gets on), and a zone goes with its last server. The new case of malformed answers and the test of zones fail before.

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -12,6 +12,7 @@
 import uvloop
 
 from granitepoint.net import logs
+from granitepoint.net.answer_memory import AnswerMemory
 from granitepoint.net.config import Config, ConfigError, load, reload_discovery_address
 from granitepoint.net.driver import AT_CAPACITY_RETRY_AFTER_S, Driver
 from granitepoint.net.memory_account import BASE_MEMORY_MB
@@ -97,6 +98,7 @@
     over_limit_headers = driver.retry_after_headers(AT_CAPACITY_RETRY_AFTER_S)
     process_mb = resident_mb() or BASE_MEMORY_MB
     server = Server(driver.effects, driver, config.sockets, config.memory_mb, over_limit_headers, process_mb)
+    driver.upstreams.answers = AnswerMemory(server.memory.backend_answers)
     driver.caller_counts, driver.caller_figures = server.counts, server.figures
     # SIGHUP is handled before the proxy is ready, and also during the shutdown.
     loop.add_signal_handler(signal.SIGHUP, reload, driver)
--- a/granitepoint/logic.py
+++ b/granitepoint/logic.py
@@ -337,6 +337,8 @@
                     server.state = ServerState.GONE
         for server in [s for s in self.known.values() if s.state is ServerState.GONE and not s.in_flight]:
             del self.known[server.id]
+        zones = {server.zone for server in self.known.values()}
+        self.zone_load = {zone: load for zone, load in self.zone_load.items() if zone in zones}
         self.rebuild_pool(now)
 
     def rebuild_pool(self, now: float) -> None:
--- a/granitepoint/net/backend_connection.py
+++ b/granitepoint/net/backend_connection.py
@@ -24,25 +24,26 @@
 
 MAX_BODY_BYTES = 256 * 1024  # of an answer
 MAX_HEAD_BYTES = 32 * 1024  # status line and headers of an answer, with all 1xx answers before it
+MAX_HEAD_FIELDS = 128
 MAX_RAW_ANSWER_BYTES = MAX_HEAD_BYTES + 2 * MAX_BODY_BYTES  # as received, with the framing of chunks
 # Between a request and its last byte: a connection that was lost unnoticed breaks in this time.
 LAST_BYTE_DELAY_S = NEXT_LOOP_ITERATION_S
 PEER_CLOSED_EVENTS = select.POLLERR | select.POLLHUP | select.POLLRDHUP  # closed or reset
 
 
-class Connection(asyncio.Protocol):
+class Connection(asyncio.BufferedProtocol):
     """One connection to a backend, which carries one exchange at a time."""
 
     __slots__ = (
         "answer_line",
         "answered_at",
         "body",
-        "body_size",
         "body_until_close",
         "bytes_received",
         "connected_at",
         "exchange",
         "exchange_count",
+        "head_size",
         "headers",
         "headers_complete",
         "idle_for",
@@ -60,8 +61,8 @@
         self.parser: Any = None  # a new one for each exchange, so no state is left from the previous answer
         self.answer_line = AnswerLine()
         self.headers: list[tuple[bytes, bytes]] = []
-        self.body: list[bytes] = []
-        self.bytes_received = self.body_size = 0  # of the current answer: on the wire, and of its body
+        self.body = bytearray()
+        self.bytes_received = self.head_size = 0  # of the current answer: on the wire, and of its headers
         # body_until_close: the answer states no length, so its body ends with the connection.
         self.headers_complete = self.body_until_close = False
         # Code of an answer that is complete but not delivered yet, and whether the connection can be kept.
@@ -84,6 +85,7 @@
         """Ends the exchange in progress, or lets it start again if its last byte was not sent."""
         # The parser refers to this object: without this the cycle would be left to the garbage collector.
         self.transport = self.parser = None
+        self.upstream.owner.answers.release(self)
         was_idle = self in self.upstream.idle
         self.upstream.on_connection_lost(self)
         if was_idle:
@@ -103,6 +105,19 @@
             )  # fmt: skip
             exchange.end(Status.RESET)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Returns the buffer for the next read, which all connections share."""
+        return self.upstream.owner.read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Takes what was read into the buffer."""
+        self.data_received(bytes(self.upstream.owner.read_buffer[:nbytes]))
+
+    def resume_answer(self) -> None:
+        """Reads on after a pause for lack of memory."""
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def eof_received(self) -> None:
         """Completes an answer whose body ends with the connection."""
         if self.exchange is not None and self.body_until_close:
@@ -138,6 +153,9 @@
             self._deliver()
         elif malformed:
             self._end_malformed()
+        elif not self.upstream.owner.answers.hold(self, len(self.body)) and self.transport is not None:
+            self.upstream.owner.counts["answer waits for memory"] += 1
+            self.transport.pause_reading()
 
     def _on_unexpected_data(self, size: int) -> None:
         """Closes the connection: data without a request is not the answer to anything."""
@@ -159,8 +177,9 @@
         assert self.pending_answer is not None and self.exchange is not None
         (code, keep_alive), self.pending_answer = self.pending_answer, None
         headers, self.headers = self.headers, []
-        body, self.body = b"".join(self.body), []
+        body, self.body = bytes(self.body), bytearray()
         exchange, self.exchange, self.parser = self.exchange, None, None
+        self.upstream.owner.answers.release(self)
         self.answered_at = time.monotonic()
         if keep_alive:
             self.upstream.release(self)
@@ -176,9 +195,13 @@
             raise ValueError("more than one answer to one request")
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Adds a header."""
-        if not self.headers_complete:  # trailers are dropped
-            self.headers.append(normalize_header(name, value))
+        """Adds a header. Raises ValueError above the limits, which are checked before it is held."""
+        if self.headers_complete:  # trailers are dropped
+            return
+        self.head_size += len(name) + len(value)
+        if self.head_size > MAX_HEAD_BYTES or len(self.headers) >= MAX_HEAD_FIELDS:
+            raise ValueError("headers too large")
+        self.headers.append(normalize_header(name, value))
 
     def on_headers_complete(self) -> None:
         """Checks how the length of the body is given. Raises ValueError if it is ambiguous or too large."""
@@ -207,10 +230,9 @@
 
     def on_body(self, chunk: bytes) -> None:
         """Adds a part of the body. Raises ValueError above the size limit."""
-        self.body_size += len(chunk)
-        if self.body_size > MAX_BODY_BYTES:
+        if len(self.body) + len(chunk) > MAX_BODY_BYTES:
             raise ValueError("body too large")
-        self.body.append(chunk)
+        self.body += chunk
 
     def on_message_complete(self) -> None:
         """Records that the answer is complete; drops a 1xx answer, except 101."""
@@ -230,8 +252,8 @@
         exchange.idle_for = self.idle_for
         self.parser = httptools.HttpResponseParser(self)
         self.answer_line = AnswerLine()
-        self.headers, self.body = [], []
-        self.bytes_received = self.body_size = 0
+        self.headers, self.body = [], bytearray()
+        self.bytes_received = self.head_size = 0
         self.headers_complete = self.body_until_close = False
         data = exchange.build_request(max(0.0, exchange.deadline - time.monotonic()))
         exchange.last_byte = data[-1:]
@@ -277,6 +299,7 @@
 
     def abandon(self) -> None:
         """Closes the connection at once and detaches it from its exchange."""
+        self.upstream.owner.answers.release(self)
         self.exchange = None
         self.upstream.remove_idle(self)
         if self.transport is not None:
--- a/granitepoint/net/memory_account.py
+++ b/granitepoint/net/memory_account.py
@@ -14,10 +14,11 @@
 BASE_MEMORY_MB = 26.0  # of the process before it serves, where the kernel does not tell it
 WORKING_MEMORY_MB = 2.5  # that the process comes to use beside what is charged: its own objects, garbage
 MIN_SPARE_MB = 1.5  # that is divided in any case: with less, nothing could be served
-CONNECTION_SHARE = 0.5  # of the spare memory, for the allowances of the callers' connections
+CONNECTION_SHARE = 0.45  # of the spare memory, for the allowances of the callers' connections
 REQUEST_SHARE = 0.2  # for requests beyond the allowance of their connection
-READ_AHEAD_SHARE = 0.15  # for input beyond that allowance that waits behind an open request
-ANSWER_SHARE = 0.15  # for answers: of backends as they arrive, and unsent ones
+READ_AHEAD_SHARE = 0.12  # for input beyond that allowance that waits behind an open request
+ANSWER_SHARE = 0.11  # for answers that callers do not read
+BACKEND_ANSWER_SHARE = 0.12  # for answers of backends that have arrived in part
 CONNECTION_BYTES = 4 * 1024  # objects of a connection with a small request, without its unparsed input
 MIN_READ_BYTES, MAX_READ_BYTES = 2 * 1024, 16 * 1024  # of one read from a caller
 MAX_READ_AHEAD_BYTES = 4 << 20  # of one connection
@@ -62,6 +63,7 @@
     requests: MemoryAccount
     read_ahead: MemoryAccount
     answers: MemoryAccount
+    backend_answers: MemoryAccount
 
 
 def plan_memory(memory_mb: float, process_mb: float, wanted_connections: int) -> MemoryPlan:
@@ -76,4 +78,5 @@
         requests=MemoryAccount(int(REQUEST_SHARE * spare)),
         read_ahead=MemoryAccount(int(READ_AHEAD_SHARE * spare)),
         answers=MemoryAccount(int(ANSWER_SHARE * spare)),
+        backend_answers=MemoryAccount(int(BACKEND_ANSWER_SHARE * spare)),
     )
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -222,6 +222,7 @@
             "memory.requests_mb": self.memory.requests.charged / MEBIBYTE,
             "memory.read_ahead_mb": self.memory.read_ahead.charged / MEBIBYTE,
             "memory.answers_mb": self.memory.answers.charged / MEBIBYTE,
+            "memory.backend_answers_mb": self.memory.backend_answers.charged / MEBIBYTE,
         }
 
     async def listen(self, host: str, port: int) -> int:
--- a/granitepoint/net/upstream.py
+++ b/granitepoint/net/upstream.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 
 from granitepoint.interface import ServerState, Status
+from granitepoint.net.answer_memory import AnswerMemory
 from granitepoint.net.backend_connection import Connection
 from granitepoint.net.config import Address
 from granitepoint.net.exchange import Exchange
@@ -20,6 +21,7 @@
 
 log = EventLogger(__name__)
 
+READ_BYTES = 16 * 1024  # of one read from a backend
 IDLE_TIMEOUT_SHARE = 0.9  # of the configured idle time, so that this side closes before the backend
 UPSTREAM_DESCRIPTOR_SHARE = 0.4  # of the process's file descriptors, for connections to backends
 IDLE_SWEEP_INTERVAL_S = 1.0  # between checks for connections that have reached the idle timeout
@@ -116,6 +118,8 @@
         self.max_connections = max_connections
         self.on_idle_closed = on_idle_closed  # called when a backend closes an idle connection
         self.reuse_delay = ReuseDelay()
+        self.answers = AnswerMemory()
+        self.read_buffer = memoryview(bytearray(READ_BYTES))  # for the reads of all connections
         self.open_connections = 0
         self.counts: Counter[str] = Counter()  # of connection events, since the last statistics line
         self.by_id: dict[int, Upstream] = {}
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -54,6 +54,7 @@
     "RTSP/1.1": b"RTSP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
     "ICE/1.0": b"ICE/1.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
     "HTTP/2.0 behind 1xx": b"HTTP/1.1 103 X\r\n\r\nHTTP/2.0 200 OK\r\nContent-Length: 2\r\n\r\nok",
+    "thousands of headers": OK + b"ab:\r\n" * 4000 + b"Content-Length: 2\r\n\r\nok",
     "upgrade": b"HTTP/1.1 101 Switching\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
 }
 ENDLESS_ANSWERS = {
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -914,3 +914,13 @@
         actions += balancer.handle(100.001 + call / 1000, [Arrival(call=call, class_name="once", budget=2.0)])
     assert [action.call for action in actions if isinstance(action, Send)] == [0, 1, 2, 3]
     assert [action.call for action in actions if isinstance(action, Refuse)] == [4, 5, 6, 7]
+
+
+def test_what_is_known_of_a_zone_goes_with_its_last_server() -> None:
+    driver = Driver(settings())
+    for number in range(1, 51):
+        listed = entries(number, zone=f"zone-{number}")
+        driver.feed(ServerList(ListKind.FULL, listed))
+        driver.feed(Probed(number, Status.OK, 0.01, {"busy_reqs": 1.0}))
+    driver.feed(ServerList(ListKind.FULL, entries(51, zone="a")))
+    assert not driver.balancer.servers.zone_load
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -12,6 +12,7 @@
 from netkit import TEST_TIMEOUT_S, Caller, run
 
 from granitepoint.interface import Effect
+from granitepoint.net.answer_memory import AnswerMemory
 from granitepoint.net.memory_account import CONNECTION_BYTES, MIN_SPARE_MB, MemoryAccount, plan_memory
 from granitepoint.net.process_memory import MEBIBYTE, resident_mb
 from granitepoint.net.server import Server
@@ -67,7 +68,7 @@
 @pytest.mark.parametrize("memory_mb", [32.0, 64.0, 192.0])
 def test_the_parts_of_the_memory_fit_into_its_limit(memory_mb: float, process_mb: float) -> None:
     plan = plan_memory(memory_mb, process_mb, wanted_connections=590)
-    shared = plan.requests.limit + plan.read_ahead.limit + plan.answers.limit
+    shared = plan.requests.limit + plan.read_ahead.limit + plan.answers.limit + plan.backend_answers.limit
     planned = shared + plan.max_connections * (CONNECTION_BYTES + plan.read_size)
     assert planned <= max(MIN_SPARE_MB, memory_mb - process_mb) * MEBIBYTE
     assert 8 <= plan.max_connections <= 590
@@ -132,5 +133,27 @@
     run(test())
 
 
+class Receiver:
+    def __init__(self) -> None:
+        self.resumed = 0
+
+    def resume_answer(self) -> None:
+        self.resumed += 1
+
+
+def test_answers_of_backends_for_which_there_is_no_memory_arrive_one_after_another() -> None:
+    memory = AnswerMemory(MemoryAccount(100_000))
+    first, second, third = Receiver(), Receiver(), Receiver()
+    assert memory.hold(first, 80_000) and not memory.hold(second, 80_000) and not memory.hold(third, 80_000)
+    assert memory.hold(first, 200_000)  # the oldest gets on whatever the limit
+    memory.release(first)
+    assert (second.resumed, third.resumed) == (1, 0)
+    assert memory.hold(second, 90_000)
+    memory.release(second)
+    assert third.resumed == 1
+    memory.release(third)
+    assert memory.account.charged == 0 and memory.hold(first, 10_000) and memory.account.charged == 0
+
+
 def test_the_resident_memory_is_that_of_this_process() -> None:
     assert 5 < (resident_mb() or 0) < 4096
