Bound the memory of a list of servers before it is parsed

A list of small JSON values took many times its size: 8 MB of empty objects peaked at 248 MB, with limits of 192 and of 32 MB; the limit was 8 MB as received, whatever the process had. Now it is a share of the memory beside the process (640 KB for 3,200 servers at least, 8 MB at most), and what the values of a list will take is estimated from its separators before json.loads; a list over that is a failed call, and the last list stays.

The new test fails before (there was no bound).

--- a/granitepoint/__main__.py
+++ b/granitepoint/__main__.py
@@ -98,6 +98,7 @@
     over_limit_headers = driver.retry_after_headers(AT_CAPACITY_RETRY_AFTER_S)
     process_mb = resident_mb() or BASE_MEMORY_MB
     server = Server(driver.effects, driver, config.sockets, config.memory_mb, over_limit_headers, process_mb)
+    driver.discovery.max_answer_bytes = server.memory.list_size
     driver.upstreams.answers = AnswerMemory(server.memory.backend_answers)
     driver.caller_counts, driver.caller_figures = server.counts, server.figures
     # SIGHUP is handled before the proxy is ready, and also during the shutdown.
--- a/granitepoint/net/discovery.py
+++ b/granitepoint/net/discovery.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import math
 import time
 from collections.abc import Callable
@@ -23,8 +22,8 @@
 from granitepoint.membership.start_times import StartTimes
 from granitepoint.membership.version_history import VersionHistory
 from granitepoint.net.config import Address
-from granitepoint.net.discovery_channel import Channel, classify_failure
-from granitepoint.net.listing import Listing, read_listing
+from granitepoint.net.discovery_channel import MAX_ANSWER_BYTES, Channel, classify_failure
+from granitepoint.net.listing import Listing, parse_document, read_listing
 from granitepoint.net.logs import EventLogger
 from granitepoint.net.reuse_delay import MAX_REUSE_DELAY_S
 
@@ -114,6 +113,7 @@
         self.newest_call: DiscoveryCall | None = None  # of the watch; not a separate request of the full list
         self.confirmed = False  # a list has come since the watch was lost
         self.lists_received = 0
+        self.max_answer_bytes = MAX_ANSWER_BYTES
         self.last_written_after = -math.inf  # monotonic; the last list was written then or later
         self._watch_task: asyncio.Task[None] | None = None
         # Calls of the watch in progress: the newest one, and earlier ones that were not answered in time.
@@ -196,7 +196,7 @@
         """
         loop = asyncio.get_running_loop()
         calls = self._watch_calls
-        channel, tries = Channel(), 0
+        channel, tries = Channel(self.max_answer_bytes), 0
         try:
             while True:
                 started_at, was_moving = loop.time(), self.moving
@@ -218,7 +218,7 @@
                         started_at + max(SILENCE_NOTIFIED_AFTER, hold + NOTIFIED_AFTER_HOLD) - loop.time(),
                         silent=True,
                     )
-                    channel = Channel()
+                    channel = Channel(self.max_answer_bytes)
                     continue
                 del calls[newest_task]
                 if newest_task.result():
@@ -266,7 +266,7 @@
         return duration * (1 - jitter * self.random.random())
 
     async def _run_fetch(self) -> None:
-        channel = Channel()
+        channel = Channel(self.max_answer_bytes)
         try:
             if not await self._make_call(
                 channel, CALL_TIMEOUT_S, DiscoveryCall(time.monotonic(), is_watch=False)
@@ -280,7 +280,7 @@
         received = False
         while not received:
             await asyncio.sleep(VERIFY_DELAY_S + VERIFY_SPREAD_S * self.random.random())
-            channel = Channel()
+            channel = Channel(self.max_answer_bytes)
             try:
                 received = await self._make_call(
                     channel, CALL_TIMEOUT_S, DiscoveryCall(time.monotonic(), is_watch=False)
@@ -299,7 +299,7 @@
             code, body = await channel.get(self.address, request_target(call), timeout)
             if code != 200:
                 raise ValueError(f"status {code}")
-            listing = read_listing(json.loads(body), self.start_times)
+            listing = read_listing(parse_document(body, self.max_answer_bytes), self.start_times)
             now = time.monotonic()
             waited = now - call.started_at
             may_be_copy = may_answer_previous_call(listing, call, now, channel.previous_answer_at)
--- a/granitepoint/net/discovery_channel.py
+++ b/granitepoint/net/discovery_channel.py
@@ -14,13 +14,14 @@
 from granitepoint.net.config import Address
 
 CONNECT_TIMEOUT_S = 1.0
-MAX_ANSWER_BYTES = 8 << 20  # limit of the bytes received for an answer, and of its decoded body
+MAX_ANSWER_BYTES = 8 << 20  # of an answer: the bytes received, and its decoded body
 
 
 class Channel(asyncio.Protocol):
     """A persistent connection to discovery, which carries one call at a time."""
 
-    def __init__(self) -> None:
+    def __init__(self, max_answer_bytes: int = MAX_ANSWER_BYTES) -> None:
+        self.max_answer_bytes = max_answer_bytes  # limit of the bytes received, and of the decoded body
         self.transport: asyncio.Transport | None = None
         self.answer: asyncio.Future[tuple[int, bytes]] | None = None  # of the call in progress: code and body
         self.parser: Any = None
@@ -46,7 +47,7 @@
         """Parses data; after malformed or unexpected data the call fails and the connection is closed."""
         self.bytes_received += len(data)
         try:
-            if self.answer is None or self.answer.done() or self.bytes_received > MAX_ANSWER_BYTES:
+            if self.answer is None or self.answer.done() or self.bytes_received > self.max_answer_bytes:
                 raise ValueError("unexpected data, or an answer above the size limit")
             self.answer_line.on_data(data)
             self.parser.feed_data(data)
@@ -62,7 +63,7 @@
     def on_body(self, chunk: bytes) -> None:
         """Adds a part of the body. Raises ValueError above the size limit."""
         self.body += chunk
-        if len(self.body) > MAX_ANSWER_BYTES:
+        if len(self.body) > self.max_answer_bytes:
             raise ValueError("the answer is too large")
 
     def on_message_complete(self) -> None:
--- a/granitepoint/net/listing.py
+++ b/granitepoint/net/listing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import math
 import time
 from collections.abc import Mapping, Sequence
@@ -14,6 +15,8 @@
 from granitepoint.net.config import Address, parse_address
 
 MS_PER_SECOND = 1000
+JSON_VALUE_BYTES = 64  # memory of a parsed value beside its characters, about
+MAX_PARSED_RATIO = 4  # of the memory of a parsed list to the limit of its size as received
 
 # Status of a server in a list -> its state in the balancer.
 STATES_BY_STATUS = {
@@ -45,6 +48,17 @@
     service_time: float | None = None
 
 
+def parse_document(text: bytes, max_size: int) -> object:
+    """Parses the JSON of a list. `max_size` is the limit of its bytes as received.
+
+    Raises ValueError if it is malformed, or if its values, which may be small, would take too much memory.
+    """
+    values = sum(text.count(mark) for mark in (b",", b"{", b"["))
+    if len(text) + values * JSON_VALUE_BYTES > MAX_PARSED_RATIO * max_size:
+        raise ValueError("the list would take too much memory")
+    return json.loads(text)
+
+
 def server_id(name: str) -> int:
     """Returns the number by which the balancer identifies a backend.
 
--- a/granitepoint/net/memory_account.py
+++ b/granitepoint/net/memory_account.py
@@ -19,6 +19,10 @@
 READ_AHEAD_SHARE = 0.12  # for input beyond that allowance that waits behind an open request
 ANSWER_SHARE = 0.11  # for answers that callers do not read
 BACKEND_ANSWER_SHARE = 0.12  # for answers of backends that have arrived in part
+# Of a list of servers as received, in shares of the spare memory, and the bounds of that; the least is for
+# 3,200 servers.
+LIST_SHARE = 0.05
+MIN_LIST_BYTES, MAX_LIST_BYTES = 640 * 1024, 8 << 20
 CONNECTION_BYTES = 4 * 1024  # objects of a connection with a small request, without its unparsed input
 MIN_READ_BYTES, MAX_READ_BYTES = 2 * 1024, 16 * 1024  # of one read from a caller
 MAX_READ_AHEAD_BYTES = 4 << 20  # of one connection
@@ -60,6 +64,7 @@
 
     max_connections: int  # of callers
     read_size: int  # of one read, and what a connection may hold of input without a charge
+    list_size: int  # of an answer of discovery, at most
     requests: MemoryAccount
     read_ahead: MemoryAccount
     answers: MemoryAccount
@@ -75,6 +80,7 @@
     return MemoryPlan(
         max_connections=min(wanted_connections, for_connections // (CONNECTION_BYTES + read_size)),
         read_size=read_size,
+        list_size=min(MAX_LIST_BYTES, max(MIN_LIST_BYTES, int(LIST_SHARE * spare))),
         requests=MemoryAccount(int(REQUEST_SHARE * spare)),
         read_ahead=MemoryAccount(int(READ_AHEAD_SHARE * spare)),
         answers=MemoryAccount(int(ANSWER_SHARE * spare)),
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -4,15 +4,17 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 from collections.abc import AsyncIterator
 from typing import Any
 
 import pytest
-from netkit import TEST_TIMEOUT_S, Caller, run
+from netkit import TEST_TIMEOUT_S, Caller, endpoint, listing, run
 
 from granitepoint.interface import Effect
 from granitepoint.net.answer_memory import AnswerMemory
+from granitepoint.net.listing import parse_document, read_listing
 from granitepoint.net.memory_account import CONNECTION_BYTES, MIN_SPARE_MB, MemoryAccount, plan_memory
 from granitepoint.net.process_memory import MEBIBYTE, resident_mb
 from granitepoint.net.server import Server
@@ -64,6 +66,12 @@
     assert account.try_charge(-10) and account.try_charge(50) and account.free == 0
 
 
+def list_of(servers: int) -> bytes:
+    """Returns a list of this many servers as discovery writes it."""
+    endpoints = [endpoint(f"s-{number:08x}", "127.127.127.127:8081") for number in range(servers)]
+    return json.dumps(listing(1, *endpoints)).encode()
+
+
 @pytest.mark.parametrize("process_mb", [14.0, 23.0, 26.0, 40.0])
 @pytest.mark.parametrize("memory_mb", [32.0, 64.0, 192.0])
 def test_the_parts_of_the_memory_fit_into_its_limit(memory_mb: float, process_mb: float) -> None:
@@ -72,6 +80,7 @@
     planned = shared + plan.max_connections * (CONNECTION_BYTES + plan.read_size)
     assert planned <= max(MIN_SPARE_MB, memory_mb - process_mb) * MEBIBYTE
     assert 8 <= plan.max_connections <= 590
+    assert len(list_of(3200)) <= plan.list_size
 
 
 def test_without_memory_the_request_that_is_unfinished_for_the_longest_is_refused() -> None:
@@ -155,5 +164,15 @@
     assert memory.account.charged == 0 and memory.hold(first, 10_000) and memory.account.charged == 0
 
 
+@pytest.mark.parametrize("value", [b"{}", b"[]", b'"ab"', b"1.5"])
+def test_a_list_of_small_values_that_would_take_many_times_its_size_is_not_parsed(value: bytes) -> None:
+    max_size = plan_memory(32, 26, 590).list_size
+    assert len(read_listing(parse_document(list_of(3200), max_size)).backends) == 3200
+    hostile = b'{"index":2,"snapshot":true,"endpoints":[' + b",".join([value] * 100_000) + b"]}"
+    assert len(hostile) <= max_size
+    with pytest.raises(ValueError, match="too much memory"):
+        parse_document(hostile, max_size)
+
+
 def test_the_resident_memory_is_that_of_this_process() -> None:
     assert 5 < (resident_mb() or 0) < 4096
