Charge and count on the path of a request only where something may change

The profile showed _update_charges (4.2 calls a request) and the sums over the generations of ids. Now a small request that fits its allowance charges nothing, and the number of ids is kept.

--- a/granitepoint/executed_ids.py
+++ b/granitepoint/executed_ids.py
@@ -21,22 +21,25 @@
 class ExecutedIds:
     """The ids of the last `keep_for` seconds, `limit` of them at most."""
 
-    __slots__ = ("_generations", "_rotate_at", "_span", "limit")
+    __slots__ = ("_count", "_generations", "_rotate_at", "_span", "limit")
 
     def __init__(self, keep_for: float, limit: int) -> None:
         self.limit = limit
         self._span = keep_for / (GENERATIONS - 1)
         self._generations: list[set[int]] = [set() for _ in range(GENERATIONS)]  # the newest first
         self._rotate_at = 0.0
+        self._count = 0
 
     def __len__(self) -> int:
-        return sum(len(generation) for generation in self._generations)
+        return self._count
 
     def add(self, id: bytes, now: float) -> None:
         """Keeps the id of a request of which an attempt has ended and may have run."""
         self._forget_oldest(now)
-        if not self._contains(hash(id)):
-            self._generations[0].add(hash(id))
+        key = hash(id)
+        if not self._contains(key):
+            self._generations[0].add(key)
+            self._count += 1
 
     def contains(self, id: bytes, now: float) -> bool:
         """Whether a request with this id may have run, or may still run."""
@@ -46,12 +49,14 @@
     def has_room(self, now: float, pending: int) -> bool:
         """Whether the ids of `pending` more requests can be kept."""
         self._forget_oldest(now)
-        return len(self) + pending <= self.limit
+        return self._count + pending <= self.limit
 
     def _contains(self, key: int) -> bool:
         return any(key in generation for generation in self._generations)
 
     def _forget_oldest(self, now: float) -> None:
+        if now < self._rotate_at:
+            return
         if now >= self._rotate_at + (GENERATIONS - 1) * self._span:
             for generation in self._generations:
                 generation.clear()
@@ -60,3 +65,4 @@
             self._generations.insert(0, set())
             self._generations.pop()
             self._rotate_at += self._span
+        self._count = sum(len(generation) for generation in self._generations)
--- a/granitepoint/net/client_connection.py
+++ b/granitepoint/net/client_connection.py
@@ -151,7 +151,8 @@
             self.server.set_table(self, self.server.awaiting_request)  # the next request has started
         if self.has_work:
             self.server.turns.run(self)
-        self._update_charges()
+        if self.reader.input_size or self.charged_input:
+            self._update_charges()
         self._update_reading()
 
     def _update_reading(self) -> None:
@@ -173,11 +174,12 @@
 
     def _update_charges(self) -> bool:
         """Charges what is held beyond the connection's allowance; returns whether there is memory for it."""
-        allowance = 2 * (self.server.memory.read_size + CHUNK_OBJECT_BYTES)
-        charge = max(0, self.reader.input_size - allowance)
-        self.server.memory.read_ahead.charge(charge - self.charged_input)
-        self.charged_input = charge
-        charge = max(0, REQUEST_COPIES * (self.reader.partial_size + self.open_size) - allowance)
+        reader, allowance = self.reader, self.server.allowance
+        charge = max(0, reader.input_size - allowance)
+        if charge != self.charged_input:
+            self.server.memory.read_ahead.charge(charge - self.charged_input)
+            self.charged_input = charge
+        charge = max(0, REQUEST_COPIES * (reader.partial_size + self.open_size) - allowance)
         return charge == self.charged_requests or self.server.hold_request(self, charge)
 
     # Owner of the reader
@@ -205,7 +207,8 @@
             incoming = self.reader.advance()
             if incoming is not None:
                 self._process(incoming)
-            if not self._update_charges():
+            held = incoming is None or self.charged_requests
+            if held and not self._update_charges():
                 self._reject_input(NO_MEMORY)
         self._update_reading()
         return self.has_work
@@ -269,7 +272,8 @@
         self.answering = False
         self.call = None
         self.open_size = 0
-        self._update_charges()
+        if self.charged_requests:
+            self._update_charges()
         self.server.large_request_connections.discard(self)
         transport = self.transport
         if transport is None:
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -23,7 +23,7 @@
 from granitepoint.net.memory_account import BASE_MEMORY_MB, plan_memory
 from granitepoint.net.process_memory import MEBIBYTE
 from granitepoint.net.request_lines import Rejection
-from granitepoint.net.request_reader import MAX_BODY_BYTES
+from granitepoint.net.request_reader import CHUNK_OBJECT_BYTES, MAX_BODY_BYTES
 from granitepoint.net.requests import Headers
 from granitepoint.net.timing import NEXT_LOOP_ITERATION_S, STALL_THRESHOLD_S
 from granitepoint.net.upstream import UPSTREAM_DESCRIPTOR_SHARE
@@ -72,6 +72,8 @@
         self.effects, self.handler = effects, handler
         reserved = int(sockets * UPSTREAM_DESCRIPTOR_SHARE) + min(RESERVED_DESCRIPTORS, sockets // 10)
         self.memory = plan_memory(memory_mb, process_mb, max(8, sockets - reserved))
+        # What a connection may hold without a charge: unparsed input, and as much of a request.
+        self.allowance = 2 * (self.memory.read_size + CHUNK_OBJECT_BYTES)
         # A large request is held together with its copy.
         self.max_large_requests = max(
             1, int(LARGE_BODY_MEMORY_SHARE * (memory_mb - process_mb) * MEBIBYTE / (2 * MAX_BODY_BYTES))
