Refuse the requests that wait behind an unread answer before their connection times out

Found in reading the change once more: requests behind an answer that the peer does not read wait as input now, and the read timeout dropped them with one 408, while a request that was read is owed its answer. Now they are refused at that moment (a health check is answered), and only what is not whole gets the 408; so also at the end of a shutdown. The new test fails before: the connection ended after the first answer.

--- a/granitepoint/net/client_connection.py
+++ b/granitepoint/net/client_connection.py
@@ -196,7 +196,8 @@
     @property
     def has_work(self) -> bool:
         """Whether there is input that can be processed now."""
-        blocked = self.answering or self.closing or self.discarding_input or self.write_blocked
+        unread = self.write_blocked and not self.over_limit  # refusals are small
+        blocked = self.answering or self.closing or self.discarding_input or unread
         return not blocked and self.reader.has_input
 
     def work(self) -> bool:
@@ -322,8 +323,20 @@
         transport.write_eof()
 
     def on_read_timeout(self) -> None:
-        """Closes the connection after REQUEST_READ_TIMEOUT_S; a partial request is answered with 408."""
-        self.reject_partial_request(Rejection(408, "the request did not end"))
+        """Closes the connection after REQUEST_READ_TIMEOUT_S; a partial request is answered with 408.
+
+        Whole requests that wait because the peer does not read are refused first: they have been read.
+        """
+        if self.write_blocked and not self.over_limit and self.reader.has_input:
+            self.refuse_requests()
+        else:
+            self.reject_partial_request(Rejection(408, "the request did not end"))
+
+    def refuse_requests(self) -> None:
+        """Refuses all further requests, also while the peer does not read its answers."""
+        self.over_limit = True
+        if self.has_work:
+            self.server.turns.wait(self)
 
     def reject_partial_request(self, rejection: Rejection) -> None:
         """Answers a partial request with this error; closes the connection if there is none."""
--- a/granitepoint/net/server.py
+++ b/granitepoint/net/server.py
@@ -94,9 +94,7 @@
         self.draining = False  # graceful shutdown: each answer closes its connection
         self.listener: Listener | None = None
         self.sweep_due = 0.0  # s, monotonic; when the next check for timed-out connections is due
-        self.counts: Counter[str] = (
-            Counter()
-        )  # closes, rejections and refusals since the last statistics line
+        self.counts: Counter[str] = Counter()  # closes, rejections, refusals since the last statistics line
 
     def set_table(self, connection: ClientConnection, table: dict[ClientConnection, None] | None) -> None:
         """Moves a connection to the end of a table, or out of all tables (None)."""
@@ -270,7 +268,7 @@
         request that they complete is refused as well.
         """
         for connection in [*self.idle, *self.awaiting_request]:
-            connection.over_limit = True
+            connection.refuse_requests()
             if not connection.has_unread_data():
                 connection.reject_partial_request(Rejection(503, "this proxy is ending"))
 
--- a/tests/test_memory_account.py
+++ b/tests/test_memory_account.py
@@ -17,7 +17,7 @@
 from granitepoint.net.listing import parse_document, read_listing
 from granitepoint.net.memory_account import CONNECTION_BYTES, MIN_SPARE_MB, MemoryAccount, plan_memory
 from granitepoint.net.process_memory import MEBIBYTE, resident_mb
-from granitepoint.net.server import Server
+from granitepoint.net.server import REQUEST_READ_TIMEOUT_S, Server
 
 HEAD = b"POST /canje HTTP/1.1\r\nHost: x\r\nX-Call-Id: %016d\r\nX-Budget: 900m\r\nContent-Length: %d\r\n\r\n"
 CHECK = b"GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n"
@@ -124,6 +124,28 @@
     run(test())
 
 
+def test_requests_behind_an_unread_answer_are_refused_at_the_read_timeout_and_none_is_lost() -> None:
+    async def test() -> None:
+        handler = AnsweringHandler()
+        handler.size = 16 << 20
+        async with small_server(handler) as (server, port):
+            with socket.create_connection(("127.0.0.1", port)) as client:
+                client.sendall(HEAD % (1, 0) + HEAD % (2, 0) + CHECK + HEAD % (3, 5))
+                while not server.write_blocked:
+                    await asyncio.sleep(0)
+                for _ in range(2):
+                    for connection in server.awaiting_request:
+                        connection.table_since -= 2 * REQUEST_READ_TIMEOUT_S
+                    server._sweep()
+                    await asyncio.sleep(0.01)
+                caller = Caller(*await asyncio.open_connection(sock=client.dup()))
+                codes = [(await caller.answer()).code for _ in range(4)]
+                assert codes == [200, 503, 200, 408]
+                assert await caller.closed_by_proxy()
+
+    run(test())
+
+
 def test_a_request_in_single_bytes_is_charged_as_what_it_takes() -> None:
     async def test() -> None:
         async with small_server(AnsweringHandler()) as (server, port):
