Give the simulated connection to discovery the limit of an answer's bytes

All of test_turns but one failed in the whole run of the tests: no proxy of the simulated fleet got a list.

--- a/granitepoint/faults/turns.py
+++ b/granitepoint/faults/turns.py
@@ -291,7 +291,7 @@
     names = vars(net)
     originals = {name: names[name] for name in ("time", "Channel", "log")}
     names["time"] = SimpleNamespace(monotonic=loop.time)
-    names["Channel"] = lambda: ModelChannel(service)
+    names["Channel"] = lambda max_answer_bytes: ModelChannel(service)
     names["log"] = SimpleNamespace(debug=_ignore, info=_ignore, warning=_ignore)
     try:
         yield
